Carry a caller's flow through any balancer to its upstream

Cause: an empty repository; callers have nothing to reach services by. Ruled out: TCP at the balancer (a packet sprayed elsewhere breaks it); a table of flows at the balancer (dies with it). Change: balancers route by the target that our QUIC connection IDs name, first packets by rendezvous over the target sets; agents own the flows; configuration spreads between peers; stand-ins for platform, fabric and upstream.

--- /dev/null
+++ b/src/agent/run.rs
@@ -0,0 +1,129 @@
+use {
+  super::{Shared, serve, tunnel::Tunnel},
+  crate::{
+    code::Fault,
+    control,
+    counter::Counter,
+    logging,
+    net::Socket,
+    peer::{self, Machine, Node, Role},
+    process::{Process, Signal},
+    settings::{self, bound},
+    state::Board,
+    supervisor::Tree,
+  },
+  crossbeam::channel,
+  std::{
+    sync::{Arc, atomic::Ordering},
+    thread,
+    time::{Duration, Instant},
+  },
+};
+
+/// How often a departing agent looks whether its flows are gone.
+const STEP: Duration = Duration::from_millis(50);
+
+/// How long a leaving agent stays at least, so that balancers learn of it.
+const NOTICE: Duration = Duration::from_secs(1);
+
+/// Runs an agent until it is told to stop and its flows are gone.
+pub fn run(settings: &settings::Agent) -> Result<(), Fault> {
+  logging::start(&settings.log)?;
+  let counter = Arc::new(Counter::default());
+  let mut process = Process::new(Arc::clone(&counter))?;
+  let shared = start(settings, &counter, &mut process.tree)?;
+  log::info!(
+    "agent: target {} of service {} started.",
+    settings.target,
+    settings.service
+  );
+  while process.wait()? == Signal::Reload {
+    shared.reload.store(true, Ordering::Relaxed);
+  }
+  depart(&shared);
+  process.tree.stop();
+  Ok(())
+}
+
+/// Starts an agent's parts.
+pub fn start(
+  settings: &settings::Agent,
+  counter: &Arc<Counter>,
+  tree: &mut Tree,
+) -> Result<Arc<Shared>, Fault> {
+  let board = Board::default();
+  let (views_in, views) = channel::unbounded();
+  let tunnel = Socket::bind(bound(settings.tunnel, settings.bind), false)?;
+  let shared = Shared::new(settings.clone(), tunnel, Arc::clone(counter));
+  let node = Node::new(
+    settings.control,
+    settings.bind,
+    machine(settings),
+    Arc::clone(counter),
+    board.clone(),
+    views_in,
+  );
+  let serving = Arc::clone(&shared);
+  tree.start("serve", move |stop| serve::run(&serving, stop))?;
+  let (tunnelling, tunnel_node) = (Arc::clone(&shared), Arc::clone(&node));
+  tree.start("tunnel", move |stop| {
+    Tunnel::new(
+      Arc::clone(&tunnelling),
+      Arc::clone(&tunnel_node),
+      board.clone(),
+    )?
+    .run(&views, stop)
+  })?;
+  let control = control(settings);
+  tree.start("control", move |stop| control::run(&control, &node, stop))?;
+  Ok(shared)
+}
+
+/// Takes nothing new, asks the callers to move, and waits until they have or their time is over.
+fn depart(shared: &Shared) {
+  let drain = shared.service().map_or(0, |service| service.drain_s);
+  let begun = Instant::now();
+  shared.departing.store(true, Ordering::Relaxed);
+  log::info!("agent: leaving, for {drain} s at most.");
+  loop {
+    thread::sleep(STEP);
+    let open = shared.flows.load(Ordering::Relaxed) + shared.requests.load(Ordering::Relaxed);
+    if open == 0 && begun.elapsed() >= NOTICE {
+      return;
+    }
+    if begun.elapsed() >= Duration::from_secs(drain).max(NOTICE) {
+      log::warn!("agent: {open} flows and requests are left after {drain} s.");
+      return;
+    }
+  }
+}
+
+fn control(settings: &settings::Agent) -> control::Settings {
+  control::Settings {
+    api: settings.api,
+    data_centre: settings.data_centre.clone(),
+    instance: settings.instance,
+    platform: settings.platform,
+    readers: 0,
+    role: role(settings),
+    seeds: settings.peers.clone(),
+    tick: peer::Settings::default().tick,
+  }
+}
+
+fn machine(settings: &settings::Agent) -> Machine {
+  Machine::new(
+    settings.control,
+    role(settings),
+    settings.peers.clone(),
+    peer::Settings::default(),
+    rand::random(),
+  )
+}
+
+fn role(settings: &settings::Agent) -> Role {
+  Role::Follower {
+    service: settings.service,
+    target: settings.target,
+  }
+}
--- /dev/null
+++ b/src/agent/tunnel.rs
@@ -0,0 +1,418 @@
+use {
+  super::{Shared, shared::Delivery},
+  crate::{
+    Code, Revision,
+    code::Fault,
+    config::{Presence, Role},
+    flow::{self, Action, Event, Machine, Pass},
+    net::{Batch, Outbox},
+    peer::{Node, View},
+    routing::{Standing, Table},
+    state::Board,
+    supervisor::Stop,
+    wire::{Carry, Echo, Flow, Found, Frame, HEADER_MAX, Probe, Refusal, Tagger},
+  },
+  crossbeam::channel::Receiver,
+  mio::{Events, Poll, Token},
+  serde_json::json,
+  std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+  },
+};
+
+/// How often the thread looks for news.
+const STEP: Duration = Duration::from_millis(50);
+
+/// A balancer that was not heard of for so long is probed.
+const PROBE: Duration = Duration::from_millis(500);
+
+/// How often what was not seen for long is forgotten.
+const EXPIRY: Duration = Duration::from_secs(5);
+
+/// How many batches are taken before the thread looks for news.
+const TURN: usize = 32;
+
+/// Takes frames from the tunnel in a thread of its own and decides over each.
+pub struct Tunnel {
+  batch: Batch,
+  board: Board,
+  machine: Machine,
+  node: Arc<Node>,
+  nonce: u32,
+  poll: Poll,
+  shared: Arc<Shared>,
+  table: Option<Table>,
+  tagger: Option<Arc<Tagger>>,
+  version: u64,
+}
+
+impl Tunnel {
+  /// The tunnel of an agent.
+  pub fn new(shared: Arc<Shared>, node: Arc<Node>, board: Board) -> Result<Self, Fault> {
+    let failed = |error| Fault::new(Code::ChildFailed, error);
+    let poll = Poll::new().map_err(failed)?;
+    shared
+      .tunnel
+      .register(poll.registry(), Token(0))
+      .map_err(failed)?;
+    let settings = &shared.settings;
+    let machine = Machine::new(
+      settings.service,
+      settings.target,
+      shared.incarnation,
+      flow::Settings::default(),
+    );
+    let view = node.view();
+    let mut tunnel = Self {
+      batch: Batch::default(),
+      board,
+      machine,
+      node,
+      nonce: 0,
+      poll,
+      shared,
+      table: None,
+      tagger: None,
+      version: 0,
+    };
+    tunnel.take_view(&view)?;
+    Ok(tunnel)
+  }
+
+  /// Runs until it is told to stop.
+  pub fn run(&mut self, views: &Receiver<Arc<View>>, stop: &Stop) -> Result<(), Fault> {
+    let mut events = Events::with_capacity(8);
+    let mut looked = Instant::now();
+    let mut expired = Instant::now();
+    let mut more = false;
+    while !stop.is_set() {
+      let wait = if more { Duration::ZERO } else { STEP };
+      if let Err(error) = self.poll.poll(&mut events, Some(wait))
+        && error.kind() != std::io::ErrorKind::Interrupted
+      {
+        return Err(Fault::new(Code::ChildFailed, error));
+      }
+      more = self.take_turn();
+      if looked.elapsed() < STEP {
+        continue;
+      }
+      looked = Instant::now();
+      if let Some(view) = views.try_iter().last() {
+        self.take_view(&view)?;
+      }
+      self.look();
+      if expired.elapsed() >= EXPIRY {
+        expired = Instant::now();
+        self.machine.expire(expired);
+        self.shared.path().expire(expired);
+      }
+    }
+    let _ = self.shared.tunnel.deregister(self.poll.registry());
+    Ok(())
+  }
+
+  fn take_turn(&mut self) -> bool {
+    let mut batch = std::mem::take(&mut self.batch);
+    let mut more = true;
+    for _ in 0..TURN {
+      match self.shared.tunnel.receive(&mut batch) {
+        Ok(true) => self.take_batch(&batch),
+        Ok(false) => {
+          more = false;
+          break;
+        }
+        Err(_) => self.shared.counter.count(Code::SendFailed),
+      }
+    }
+    self.batch = batch;
+    more
+  }
+
+  fn take_batch(&mut self, batch: &Batch) {
+    let Some(tagger) = self.tagger.clone() else {
+      self.shared.counter.count(Code::NotReady);
+      return;
+    };
+    let now = Instant::now();
+    let mut outbox = Outbox::default();
+    for (from, datagram) in batch.datagrams() {
+      match Frame::decode(datagram, &tagger) {
+        Ok((Frame::Carry(carry), packet)) => {
+          self.carry(now, &tagger, from, &carry, packet, &mut outbox);
+        }
+        Ok((Frame::Echo(echo), _)) => {
+          self.shared.path().heard(now, from);
+          self.compare(echo.revision);
+        }
+        Ok((Frame::Found(found), _)) => {
+          let event = Event::Found {
+            key: found.key,
+            target: found.target,
+          };
+          self.machine.step(now, self.table.as_ref(), event);
+        }
+        Ok((Frame::Probe(probe), _)) => self.echo(&tagger, from, &probe),
+        Ok((Frame::Refusal(refusal), _)) => {
+          let code = Code::from_number(refusal.code).unwrap_or(Code::PacketUnroutable);
+          self.shared.counter.count(code);
+        }
+        Ok((Frame::Return(_), _)) => self.shared.counter.count(Code::FrameWrongTarget),
+        Err(code) => self.shared.counter.count(code),
+      }
+    }
+    for _ in 0..outbox.flush(&self.shared.tunnel) {
+      self.shared.counter.count(Code::SendFailed);
+    }
+    self.shared.waker.wake();
+  }
+
+  fn carry<'a>(
+    &mut self,
+    now: Instant,
+    tagger: &Tagger,
+    from: SocketAddr,
+    carry: &Carry,
+    packet: &'a [u8],
+    outbox: &mut Outbox<'a>,
+  ) {
+    let balancer = carry.balancer.unwrap_or(from);
+    let event = Event::Carry {
+      carry,
+      flows: self.shared.flows.load(Ordering::Relaxed),
+    };
+    let Some(action) = self.machine.step(now, self.table.as_ref(), event) else {
+      return;
+    };
+    if carry.service == self.shared.settings.service {
+      self.compare(carry.revision);
+    }
+    match action {
+      Action::Deliver | Action::Open | Action::Reset => {
+        if action == Action::Reset {
+          self.shared.counter.count(Code::FrameWrongIncarnation);
+        }
+        self.shared.path().carried(now, carry.caller, balancer);
+        self.tell_found(tagger, from, carry);
+        self.deliver(carry.caller, packet);
+      }
+      Action::Pass(pass) => self.pass(tagger, balancer, carry, pass, packet, outbox),
+      Action::Refuse(code) => self.refuse(tagger, balancer, carry, code),
+      Action::Skip => {}
+    }
+  }
+
+  fn deliver(&self, caller: SocketAddr, packet: &[u8]) {
+    let delivery = Delivery {
+      caller,
+      packet: packet.to_vec(),
+    };
+    if self.shared.queue.push(delivery).is_err() {
+      self.shared.counter.count(Code::QueueFull);
+    }
+  }
+
+  fn pass<'a>(
+    &self,
+    tagger: &Tagger,
+    balancer: SocketAddr,
+    carry: &Carry,
+    pass: Pass,
+    packet: &'a [u8],
+    outbox: &mut Outbox<'a>,
+  ) {
+    let frame = Frame::Carry(Carry {
+      balancer: Some(balancer),
+      caller: carry.caller,
+      chain: pass.chain,
+      flow: carry.flow,
+      hops: carry.hops.saturating_add(1),
+      redirects: pass.redirects,
+      revision: self.revision(),
+      searched: pass.searched,
+      service: carry.service,
+      target: pass.to.target,
+      whole: pass.whole,
+    });
+    let mut header = [0; HEADER_MAX];
+    match frame.encode(packet.len(), tagger, &mut header) {
+      Ok(length) => outbox.push(pass.to.address, header, length, packet),
+      Err(code) => self.shared.counter.count(code),
+    }
+  }
+
+  fn refuse(&self, tagger: &Tagger, to: SocketAddr, carry: &Carry, code: Code) {
+    self.shared.counter.count(code);
+    let refusal = Frame::Refusal(Refusal {
+      code: code.number(),
+      revision: self.revision(),
+      service: carry.service,
+      target: carry.target,
+    });
+    self.send(tagger, to, &refusal);
+  }
+
+  /// Tells the agent that passed a packet on that its flow is here.
+  fn tell_found(&self, tagger: &Tagger, to: SocketAddr, carry: &Carry) {
+    let Flow::Keyed { key, .. } = carry.flow else {
+      return;
+    };
+    if carry.hops == 0 {
+      return;
+    }
+    let found = Frame::Found(Found {
+      key,
+      service: carry.service,
+      target: carry.target,
+    });
+    self.send(tagger, to, &found);
+  }
+
+  fn echo(&self, tagger: &Tagger, to: SocketAddr, probe: &Probe) {
+    let settings = &self.shared.settings;
+    if probe.service != settings.service {
+      self.shared.counter.count(Code::FrameWrongService);
+      return;
+    }
+    if probe.target != Some(settings.target) {
+      self.shared.counter.count(Code::FrameWrongTarget);
+      return;
+    }
+    if self.machine.is_leaving() {
+      let refusal = Frame::Refusal(Refusal {
+        code: Code::TargetLeaving.number(),
+        revision: self.revision(),
+        service: settings.service,
+        target: settings.target,
+      });
+      self.send(tagger, to, &refusal);
+      return;
+    }
+    let echo = Frame::Echo(Echo {
+      load: self.shared.load(),
+      nonce: probe.nonce,
+      revision: self.revision(),
+      service: settings.service,
+      target: Some(settings.target),
+    });
+    self.send(tagger, to, &echo);
+  }
+
+  fn send(&self, tagger: &Tagger, to: SocketAddr, frame: &Frame) {
+    let mut header = [0; HEADER_MAX];
+    if let Ok(length) = frame.encode(0, tagger, &mut header) {
+      self.shared.counter.add("control.out.frame", length as u64);
+      let _ = self.shared.tunnel.send(to, &header[..length]);
+    }
+  }
+
+  /// A frame that shows a newer revision makes the agent ask for it.
+  fn compare(&self, revision: Revision) {
+    if revision > self.revision() {
+      self.node.nudge();
+    }
+  }
+
+  fn revision(&self) -> Revision {
+    self
+      .table
+      .as_ref()
+      .map_or(Revision::default(), Table::revision)
+  }
+
+  /// Probes quiet balancers, and settles whether the target leaves.
+  fn look(&mut self) {
+    let leaving = self.is_leaving();
+    if leaving != self.machine.is_leaving() {
+      log::info!("agent: leaving is now {leaving}.");
+      self.shared.leaving.store(leaving, Ordering::Relaxed);
+      let now = Instant::now();
+      self
+        .machine
+        .step(now, self.table.as_ref(), Event::Leaving(leaving));
+    }
+    self.probe();
+    self.post();
+  }
+
+  fn is_leaving(&self) -> bool {
+    let listed = self.shared.service().is_some_and(|service| {
+      service
+        .target(self.shared.settings.target)
+        .is_none_or(|target| target.leaving)
+    });
+    listed || self.shared.departing.load(Ordering::Relaxed)
+  }
+
+  fn probe(&mut self) {
+    let Some(tagger) = self.tagger.clone() else {
+      return;
+    };
+    let quiet = self.shared.path().quiet(Instant::now(), PROBE);
+    for balancer in quiet {
+      self.nonce = self.nonce.wrapping_add(1);
+      let probe = Frame::Probe(Probe {
+        nonce: self.nonce,
+        revision: self.revision(),
+        service: self.shared.settings.service,
+        target: None,
+      });
+      self.send(&tagger, balancer, &probe);
+    }
+  }
+
+  fn take_view(&mut self, view: &View) -> Result<(), Fault> {
+    let settings = &self.shared.settings;
+    let balancers = view
+      .instances
+      .iter()
+      .filter(|instance| instance.role == Role::Balancer && instance.presence == Presence::Live)
+      .map(|instance| instance.tunnel)
+      .collect::<Vec<_>>();
+    self.shared.path().list(Instant::now(), &balancers);
+    let own = view
+      .services
+      .iter()
+      .find(|(_, service, _)| service.id == settings.service);
+    self.table = own.map(|(revision, service, history)| {
+      Table::new(*revision, service, history, usize::MAX, |target| {
+        if target.leaving {
+          Standing::Leaving
+        } else {
+          Standing::Live
+        }
+      })
+    });
+    let service = own.map(|(revision, service, _)| (*revision, Arc::new(service.clone())));
+    self.shared.set_service(service);
+    let tagger = view.keyring.as_ref().map(Tagger::new).transpose()?;
+    self.tagger = tagger.map(Arc::new);
+    self.shared.set_tagger(self.tagger.clone());
+    self.version = view.version;
+    Ok(())
+  }
+
+  fn post(&self) {
+    let (owned, passed) = self.machine.remembered();
+    let (callers, balancers) = self.shared.path().len();
+    self.board.post(
+      "path",
+      json!({
+        "balancers": balancers,
+        "callers": callers,
+        "flows": self.shared.flows.load(Ordering::Relaxed),
+        "incarnation": self.shared.incarnation,
+        "leaving": self.machine.is_leaving(),
+        "owned": owned,
+        "passed": passed,
+        "requests": self.shared.requests.load(Ordering::Relaxed),
+        "revision": self.revision(),
+        "version": Some(self.version).filter(|_| self.table.is_some()),
+      }),
+    );
+    self
+      .board
+      .post("counters", json!(self.shared.counter.snapshot()));
+  }
+}
--- /dev/null
+++ b/src/balancer/run.rs
@@ -0,0 +1,121 @@
+use {
+  super::{Director, Settings, Worker},
+  crate::{
+    code::Fault,
+    control,
+    counter::Counter,
+    logging,
+    peer::{self, Machine, Node, Role},
+    process::{Process, Signal},
+    settings::{self, bound},
+    state::Board,
+    supervisor::Tree,
+  },
+  crossbeam::channel,
+  std::{
+    sync::{
+      Arc,
+      atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+  },
+};
+
+/// How many reports of workers may wait.
+const REPORTS: usize = 1024;
+
+/// Runs a balancer until it is told to stop.
+pub fn run(settings: &settings::Balancer) -> Result<(), Fault> {
+  logging::start(&settings.log)?;
+  let counter = Arc::new(Counter::default());
+  let mut process = Process::new(Arc::clone(&counter))?;
+  let leaving = start(settings, &counter, &mut process.tree)?;
+  log::info!("balancer: instance {} started.", settings.instance);
+  while process.wait()? == Signal::Reload {}
+  leaving.store(true, Ordering::Relaxed);
+  log::info!("balancer: leaving for {} ms.", settings.linger_ms);
+  thread::sleep(Duration::from_millis(settings.linger_ms));
+  process.tree.stop();
+  Ok(())
+}
+
+/// Starts a balancer's parts; what it returns is set when the balancer is to leave.
+pub fn start(
+  settings: &settings::Balancer,
+  counter: &Arc<Counter>,
+  tree: &mut Tree,
+) -> Result<Arc<AtomicBool>, Fault> {
+  let board = Board::default();
+  let leaving = Arc::new(AtomicBool::new(false));
+  let (views_in, views) = channel::unbounded();
+  let node = Node::new(
+    settings.control,
+    settings.bind,
+    machine(settings),
+    Arc::clone(counter),
+    board.clone(),
+    views_in,
+  );
+  let (reports_in, reports) = channel::bounded(REPORTS);
+  let mut snapshots = Vec::new();
+  for number in 0..settings.workers {
+    let (sender, receiver) = channel::unbounded();
+    snapshots.push(sender);
+    let (counter, reports) = (Arc::clone(counter), reports_in.clone());
+    let worker = Settings {
+      bind: settings.bind,
+      leaving: Arc::clone(&leaving),
+      number,
+      tunnel: settings.tunnel,
+    };
+    tree.start("worker", move |stop| {
+      Worker::new(
+        worker.clone(),
+        Arc::clone(&counter),
+        receiver.clone(),
+        reports.clone(),
+      )?
+      .run(stop)
+    })?;
+  }
+  let tunnel = bound(settings.tunnel, settings.bind);
+  let director_counter = Arc::clone(counter);
+  let director_node = Arc::clone(&node);
+  tree.start("director", move |stop| {
+    Director::new(
+      tunnel,
+      director_node.view(),
+      Arc::clone(&director_counter),
+      board.clone(),
+      snapshots.clone(),
+    )?
+    .run(&views, &reports, stop)
+  })?;
+  let control = control(settings);
+  tree.start("control", move |stop| control::run(&control, &node, stop))?;
+  Ok(leaving)
+}
+
+fn control(settings: &settings::Balancer) -> control::Settings {
+  control::Settings {
+    api: settings.api,
+    data_centre: settings.data_centre.clone(),
+    instance: settings.instance,
+    platform: settings.platform,
+    readers: settings.readers,
+    role: Role::Carrier,
+    seeds: settings.peers.clone(),
+    tick: peer::Settings::default().tick,
+  }
+}
+
+fn machine(settings: &settings::Balancer) -> Machine {
+  Machine::new(
+    settings.control,
+    Role::Carrier,
+    settings.peers.clone(),
+    peer::Settings::default(),
+    rand::random(),
+  )
+}
--- /dev/null
+++ b/src/bin/fallwell.rs
@@ -0,0 +1,3 @@
+//! `fallwell`: the operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/command.rs
@@ -0,0 +1,1 @@
+//! The command line of `fallwell`.
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,25 @@
+//! What the operator publishes, and the machine that takes it into force.
+
+mod digest;
+mod document;
+mod instance;
+mod key;
+mod keyring;
+mod record;
+mod route;
+mod service;
+mod store;
+mod target;
+
+pub use {
+  digest::Digest,
+  document::{Document, SIZE_LIMIT},
+  instance::{Instance, Presence, Role},
+  key::Key,
+  keyring::{Keyring, Secret},
+  record::Record,
+  route::Route,
+  service::Service,
+  store::{HISTORY_LIMIT, Store, Verdict},
+  target::Target,
+};
--- /dev/null
+++ b/src/config/route.rs
@@ -0,0 +1,29 @@
+use serde::{Deserialize, Serialize};
+
+/// What the operator says of the requests of one method under one path prefix.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Route {
+  /// How long a request may wait and run, in milliseconds.
+  pub deadline_ms: u64,
+  /// The method, such as `POST`.
+  pub method: String,
+  /// The prefix of the path.
+  pub path: String,
+  /// Whether a request may be run twice. Unmarked means not.
+  pub repeatable: bool,
+  /// What it counts in imbalance; a basket confirmation counts 2.
+  pub weight: u32,
+}
+
+impl Default for Route {
+  fn default() -> Self {
+    Self {
+      deadline_ms: 10_000,
+      method: "GET".into(),
+      path: "/".into(),
+      repeatable: false,
+      weight: 1,
+    }
+  }
+}
--- /dev/null
+++ b/src/flow/pass.rs
@@ -0,0 +1,40 @@
+use crate::{id, routing::Hop, wire::Carry};
+
+/// How a packet is sent on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Pass {
+  /// The targets to be asked after the next one.
+  pub chain: Vec<id::Target>,
+  /// How often a target that could not open the flow has sent it to another.
+  pub redirects: u8,
+  /// Whether all targets are being asked.
+  pub searched: bool,
+  /// The next target.
+  pub to: Hop,
+  /// Whether the last target may open the flow.
+  pub whole: bool,
+}
+
+impl Pass {
+  /// To one target, which may not open the flow.
+  pub(super) fn to(to: Hop) -> Self {
+    Self {
+      chain: Vec::new(),
+      redirects: 0,
+      searched: false,
+      to,
+      whole: false,
+    }
+  }
+
+  /// To one target of a chain.
+  pub(super) fn along(carry: &Carry, to: Hop, chain: Vec<id::Target>) -> Self {
+    Self {
+      chain,
+      redirects: carry.redirects,
+      searched: carry.searched,
+      to,
+      whole: carry.whole,
+    }
+  }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,32 @@
+//! Fallwell, a layer-4 load balancer whose flows outlive its processes.
+//!
+//! Decisions are state machines without clock, socket or thread ([`config`], [`flow`],
+//! [`membership`], [`routing`]); the programs ([`agent`], [`balancer`], [`command`]) feed them.
+
+pub mod agent;
+pub mod api;
+pub mod balancer;
+pub mod caller;
+pub mod code;
+pub mod command;
+pub mod config;
+pub mod control;
+pub mod counter;
+pub mod flow;
+pub mod id;
+pub mod logging;
+pub mod membership;
+pub mod net;
+pub mod peer;
+pub mod platform;
+pub mod process;
+pub mod revision;
+pub mod routing;
+pub mod settings;
+pub mod standin;
+pub mod state;
+pub mod supervisor;
+pub mod web;
+pub mod wire;
+
+pub use {code::Code, revision::Revision};
--- /dev/null
+++ b/src/peer/settings.rs
@@ -0,0 +1,28 @@
+use std::time::Duration;
+
+/// The bounds of the spread.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Settings {
+  /// How many peers hear of news at once from a process that has just learnt it.
+  pub fan_out: usize,
+  /// How many bytes of documents go into one message.
+  pub message_bytes: usize,
+  /// How many changed documents at once count as news.
+  pub news_max: usize,
+  /// How many balancers an agent is told of.
+  pub subset: usize,
+  /// The time between two digests, or between two questions of a follower.
+  pub tick: Duration,
+}
+
+impl Default for Settings {
+  fn default() -> Self {
+    Self {
+      fan_out: 3,
+      message_bytes: 128 << 10,
+      news_max: 8,
+      subset: 4,
+      tick: Duration::from_secs(1),
+    }
+  }
+}
--- /dev/null
+++ b/src/process.rs
@@ -0,0 +1,107 @@
+//! What every program does: it reads its settings, starts its parts, waits for a signal, and
+//! stops them in order.
+
+use {
+  crate::{
+    code::{Code, Fault},
+    counter::Counter,
+    settings,
+    supervisor::Tree,
+  },
+  pico_args::Arguments,
+  serde::de::DeserializeOwned,
+  signal_hook::{
+    consts::{SIGHUP, SIGINT, SIGTERM},
+    iterator::Signals,
+  },
+  std::{path::PathBuf, process::ExitCode, sync::Arc, time::Duration},
+};
+
+/// How often a waiting process looks for signals and faults.
+const STEP: Duration = Duration::from_millis(50);
+
+/// A signal that a process acts on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Signal {
+  /// SIGHUP: read files again.
+  Reload,
+  /// SIGINT or SIGTERM: stop as planned.
+  Stop,
+}
+
+/// What a program is started with: `--settings FILE`, and `--check` to read it and stop.
+pub fn start<T: DeserializeOwned>(
+  help: &str,
+  check: impl Fn(&T) -> Result<(), Fault>,
+) -> Result<Option<T>, Fault> {
+  let mut arguments = Arguments::from_env();
+  if arguments.contains(["-h", "--help"]) {
+    print!("{help}");
+    return Ok(None);
+  }
+  let invalid = |error: pico_args::Error| Fault::new(Code::ArgumentInvalid, error);
+  let path: PathBuf = arguments.value_from_str("--settings").map_err(invalid)?;
+  let only_check = arguments.contains("--check");
+  let rest = arguments.finish();
+  if let Some(first) = rest.first() {
+    return Err(Fault::new(
+      Code::ArgumentInvalid,
+      format!(
+        "found `{}`, expected `--settings` or `--check`",
+        first.display()
+      ),
+    ));
+  }
+  let read = settings::read(&path)?;
+  check(&read)?;
+  if only_check {
+    println!("{}: settings are valid", path.display());
+    return Ok(None);
+  }
+  Ok(Some(read))
+}
+
+/// Runs a program's body and turns its fault into a message and an exit code.
+pub fn finish(name: &str, result: Result<(), Fault>) -> ExitCode {
+  match result {
+    Ok(()) => ExitCode::SUCCESS,
+    Err(fault) => {
+      eprintln!("{name}: {fault}");
+      ExitCode::from(if fault.code.number() < 200 { 2 } else { 1 })
+    }
+  }
+}
+
+/// The parts of a process and the signals that it waits for.
+pub struct Process {
+  signals: Signals,
+  /// The parts.
+  pub tree: Tree,
+}
+
+impl Process {
+  /// A process without parts.
+  pub fn new(counter: Arc<Counter>) -> Result<Self, Fault> {
+    let signals = Signals::new([SIGHUP, SIGINT, SIGTERM])
+      .map_err(|error| Fault::new(Code::ChildFailed, error))?;
+    Ok(Self {
+      signals,
+      tree: Tree::new(counter),
+    })
+  }
+
+  /// Waits until a signal comes or a part has failed too often.
+  pub fn wait(&mut self) -> Result<Signal, Fault> {
+    loop {
+      if let Some(signal) = self.signals.pending().next() {
+        return Ok(match signal {
+          SIGHUP => Signal::Reload,
+          _ => Signal::Stop,
+        });
+      }
+      if let Ok(fault) = self.tree.given_up().recv_timeout(STEP) {
+        return Err(fault);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/routing/machine.rs
@@ -0,0 +1,183 @@
+use {
+  super::{Entry, Standing, Table},
+  crate::{Code, id, wire::Flow},
+  std::net::SocketAddr,
+};
+
+/// The most targets that are asked about one packet.
+pub const CHAIN_MAX: usize = 24;
+
+/// How many candidates each set of targets has for a key.
+const CANDIDATES: usize = 2;
+
+/// How busy targets said they are, in 1/255 of what they may hold; 0 where nothing is known.
+pub trait Loads {
+  /// The last word of a target.
+  fn load(&self, service: id::Service, target: id::Target) -> u8;
+}
+
+/// One destination of a packet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Hop {
+  /// Where it goes.
+  pub address: SocketAddr,
+  /// Who it is for.
+  pub target: id::Target,
+}
+
+impl From<&Entry> for Hop {
+  fn from(entry: &Entry) -> Self {
+    Self {
+      address: entry.address,
+      target: entry.id,
+    }
+  }
+}
+
+/// What becomes of a packet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Route {
+  /// To `first`, which hands it along `chain` until somebody has the flow; the last may open it.
+  /// Each of `copies` gets a copy that it takes only if the flow is its own already.
+  Chain {
+    /// The targets after the first.
+    chain: Vec<id::Target>,
+    /// Silent targets, which might have the flow but must not hold up the chain.
+    copies: Vec<Hop>,
+    /// The first target.
+    first: Hop,
+  },
+  /// To the target that the packet names.
+  Named(Hop),
+  /// To a target that may know the one that the packet names, since this process does not.
+  Relay(Hop),
+}
+
+/// Decides where packets go. It keeps nothing between two packets.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Machine;
+
+impl Machine {
+  /// The route of one packet of the table's service.
+  pub fn step(table: &Table, flow: Flow, loads: &impl Loads) -> Result<Route, Code> {
+    match flow {
+      Flow::Keyed { key, opens } => Self::chain(table, key, opens, loads),
+      Flow::Named { target, .. } => Self::named(table, target),
+    }
+  }
+
+  /// The live target that a flow which somebody else may not take goes to: the key's first among
+  /// those that are not in `except`.
+  pub fn alternative(table: &Table, key: u64, except: &[id::Target]) -> Option<Hop> {
+    table
+      .current()
+      .filter(|entry| entry.standing == Standing::Live && !except.contains(&entry.id))
+      .max_by_key(|entry| entry.rank.score(key))
+      .map(Hop::from)
+  }
+
+  fn named(table: &Table, target: id::Target) -> Result<Route, Code> {
+    if let Some(entry) = table.get(target) {
+      return Ok(Route::Named(Hop::from(entry)));
+    }
+    Self::alternative(table, target.0.into(), &[])
+      .map(Route::Relay)
+      .ok_or(Code::PacketUnroutable)
+  }
+
+  fn chain(table: &Table, key: u64, opens: bool, loads: &impl Loads) -> Result<Route, Code> {
+    let scores = Scores::new(table, key);
+    let open = scores.best(table, &table.sets(true)[0], |entry| {
+      entry.standing == Standing::Live
+    });
+    let preferred = Self::preferred(table, &open, loads);
+    let mut asked = Vec::with_capacity(8);
+    let mut copies = Vec::new();
+    for set in table.sets(opens) {
+      for index in scores.best(table, set, |_| true) {
+        Self::ask(table, index, preferred, &mut asked, &mut copies);
+      }
+    }
+    for index in open {
+      Self::ask(table, index, preferred, &mut asked, &mut copies);
+    }
+    asked.truncate(CHAIN_MAX - 1);
+    asked.reverse();
+    asked.extend(preferred);
+    let (first, rest) = asked.split_first().ok_or(Code::PacketUnroutable)?;
+    let chain = rest
+      .iter()
+      .map(|index| table.entry(*index).id)
+      .collect::<Vec<_>>();
+    debug_assert!(chain.len() < CHAIN_MAX);
+    Ok(Route::Chain {
+      chain,
+      copies,
+      first: Hop::from(table.entry(*first)),
+    })
+  }
+
+  /// Puts a candidate in its place: the silent ones are told aside, the preferred one goes last.
+  fn ask(
+    table: &Table,
+    index: u16,
+    preferred: Option<u16>,
+    asked: &mut Vec<u16>,
+    copies: &mut Vec<Hop>,
+  ) {
+    if Some(index) == preferred || asked.contains(&index) {
+      return;
+    }
+    let entry = table.entry(index);
+    if entry.standing != Standing::Silent || preferred.is_none() {
+      asked.push(index);
+      return;
+    }
+    let copy = Hop::from(entry);
+    if !copies.contains(&copy) {
+      copies.push(copy);
+    }
+  }
+
+  fn preferred(table: &Table, open: &[u16], loads: &impl Loads) -> Option<u16> {
+    open
+      .iter()
+      .copied()
+      .min_by_key(|index| loads.load(table.service(), table.entry(*index).id))
+  }
+}
+
+/// The scores of all of a table's targets for one key.
+struct Scores(Vec<u64>);
+
+impl Scores {
+  fn new(table: &Table, key: u64) -> Self {
+    Self(
+      table
+        .entries()
+        .iter()
+        .map(|entry| entry.rank.score(key))
+        .collect(),
+    )
+  }
+
+  /// The best candidates of a set, the first one first.
+  fn best(&self, table: &Table, set: &[u16], fits: impl Fn(&Entry) -> bool) -> Vec<u16> {
+    let mut best: Vec<u16> = Vec::with_capacity(CANDIDATES + 1);
+    for index in set {
+      if !fits(table.entry(*index)) {
+        continue;
+      }
+      let score = self.0[usize::from(*index)];
+      let place = best
+        .iter()
+        .position(|other| self.0[usize::from(*other)] < score)
+        .unwrap_or(best.len());
+      if place < CANDIDATES {
+        best.insert(place, *index);
+        best.truncate(CANDIDATES);
+      }
+    }
+    best
+  }
+}
--- /dev/null
+++ b/src/standin/fabric.rs
@@ -0,0 +1,236 @@
+use {
+  super::Plan,
+  crate::{
+    code::{Code, Fault},
+    web,
+  },
+  bytes::Bytes,
+  http::{Method, Request, Response, StatusCode},
+  http_body_util::{BodyExt, Full},
+  hyper::body::Incoming,
+  rand::{RngExt, SeedableRng, rngs::SmallRng},
+  serde::{Deserialize, Serialize},
+  serde_json::json,
+  std::{
+    collections::HashMap,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{
+      Arc, Mutex, MutexGuard, PoisonError,
+      atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+  },
+  tokio::{
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream, UdpSocket},
+  },
+};
+
+/// The largest datagram, in bytes.
+const DATAGRAM_MAX: usize = 1 << 16;
+
+/// How often a carried connection looks whether it is cut.
+const STEP: Duration = Duration::from_millis(50);
+
+/// An address that the fabric stands before, and who is behind it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Front {
+  /// Who its packets go to, any packet to any.
+  pub backs: Vec<SocketAddr>,
+  /// The address that others reach.
+  pub listen: SocketAddr,
+}
+
+/// Sprays each datagram to a random back, from a socket for each sender, and carries TCP to the
+/// first back; both with the faults of its plan.
+#[derive(Debug, Default)]
+pub struct Fabric {
+  datagrams: AtomicU64,
+  fronts: Mutex<HashMap<SocketAddr, Vec<SocketAddr>>>,
+  plan: Mutex<Plan>,
+}
+
+struct Line {
+  caller: SocketAddr,
+  fabric: Arc<Fabric>,
+  front: Arc<UdpSocket>,
+  listen: SocketAddr,
+  session: Arc<UdpSocket>,
+}
+
+impl Fabric {
+  /// Runs the fronts and the control address.
+  pub async fn run(control: SocketAddr, fronts: Vec<Front>, seed: u64) -> Result<(), Fault> {
+    let fabric = Arc::new(Self::default());
+    for (index, front) in fronts.into_iter().enumerate() {
+      Arc::clone(&fabric)
+        .open(front, seed.wrapping_add(index as u64))
+        .await?;
+    }
+    let handler = move |request: Request<Incoming>| {
+      let fabric = Arc::clone(&fabric);
+      async move { fabric.control(request).await }
+    };
+    web::serve(control, handler).await
+  }
+
+  async fn open(self: Arc<Self>, front: Front, seed: u64) -> Result<(), Fault> {
+    let failed = |error| {
+      Fault::new(
+        Code::AddressUnavailable,
+        format!("{}: {error}", front.listen),
+      )
+    };
+    let socket = UdpSocket::bind(front.listen).await.map_err(failed)?;
+    let listener = TcpListener::bind(front.listen).await.map_err(failed)?;
+    lock(&self.fronts).insert(front.listen, front.backs.clone());
+    tokio::spawn(Arc::clone(&self).spray(front.listen, Arc::new(socket), seed));
+    tokio::spawn(self.carry(front.listen, listener));
+    Ok(())
+  }
+
+  async fn spray(self: Arc<Self>, listen: SocketAddr, front: Arc<UdpSocket>, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut lines: HashMap<SocketAddr, Arc<Line>> = HashMap::new();
+    let mut buffer = vec![0; DATAGRAM_MAX];
+    loop {
+      let Ok((length, caller)) = front.recv_from(&mut buffer).await else {
+        continue;
+      };
+      let line = if let Some(line) = lines.get(&caller) {
+        Arc::clone(line)
+      } else {
+        let local = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+        let Ok(session) = UdpSocket::bind(local).await else {
+          continue;
+        };
+        let line = Arc::new(Line {
+          caller,
+          fabric: Arc::clone(&self),
+          front: Arc::clone(&front),
+          listen,
+          session: Arc::new(session),
+        });
+        tokio::spawn(Arc::clone(&line).back(rng.random()));
+        lines.insert(caller, Arc::clone(&line));
+        line
+      };
+      line.forth(&buffer[..length], &mut rng).await;
+    }
+  }
+
+  async fn carry(self: Arc<Self>, listen: SocketAddr, listener: TcpListener) {
+    while let Ok((mut inward, caller)) = listener.accept().await {
+      let fabric = Arc::clone(&self);
+      tokio::spawn(async move {
+        let back = lock(&fabric.fronts)
+          .get(&listen)
+          .and_then(|backs| backs.first().copied());
+        let Some(back) = back else {
+          return;
+        };
+        let cut = async {
+          while !lock(&fabric.plan).is_cut(caller.ip(), back.ip()) {
+            tokio::time::sleep(STEP).await;
+          }
+        };
+        let both = async {
+          let mut outward = TcpStream::connect(back).await.ok()?;
+          copy_bidirectional(&mut inward, &mut outward).await.ok()
+        };
+        tokio::select! {
+          biased;
+          () = cut => {}
+          _ = both => {}
+        }
+      });
+    }
+  }
+
+  async fn control(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path().to_owned();
+    let method = request.method().clone();
+    let Ok(body) = request.into_body().collect().await else {
+      return web::answer(StatusCode::BAD_REQUEST, "");
+    };
+    let body = body.to_bytes();
+    match (method, path.as_str()) {
+      (Method::GET, "/v1/figures") => {
+        let figures = json!({ "datagrams": self.datagrams.load(Ordering::Relaxed) });
+        web::answer(StatusCode::OK, figures.to_string())
+      }
+      (Method::POST, "/v1/front") => match serde_json::from_slice::<Front>(&body) {
+        Ok(front) => {
+          lock(&self.fronts).insert(front.listen, front.backs);
+          web::answer(StatusCode::OK, "")
+        }
+        Err(error) => web::answer(StatusCode::BAD_REQUEST, error.to_string()),
+      },
+      (Method::POST, "/v1/plan") => match serde_json::from_slice::<Plan>(&body) {
+        Ok(plan) => {
+          *lock(&self.plan) = plan;
+          web::answer(StatusCode::OK, "")
+        }
+        Err(error) => web::answer(StatusCode::BAD_REQUEST, error.to_string()),
+      },
+      _ => web::answer(StatusCode::NOT_FOUND, ""),
+    }
+  }
+}
+
+impl Line {
+  /// Carries a sender's datagram to a random back.
+  async fn forth(&self, datagram: &[u8], rng: &mut SmallRng) {
+    let back = {
+      let fronts = lock(&self.fabric.fronts);
+      let backs = fronts.get(&self.listen).map_or(&[][..], Vec::as_slice);
+      if backs.is_empty() {
+        return;
+      }
+      backs[rng.random_range(0..backs.len())]
+    };
+    self.fabric.datagrams.fetch_add(1, Ordering::Relaxed);
+    let copies = self.copies(back, rng);
+    deliver(&self.session, back, datagram, copies).await;
+  }
+
+  /// Carries the answers of all backs to the sender.
+  async fn back(self: Arc<Self>, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut buffer = vec![0; DATAGRAM_MAX];
+    loop {
+      let Ok((length, back)) = self.session.recv_from(&mut buffer).await else {
+        continue;
+      };
+      let copies = self.copies(back, &mut rng);
+      deliver(&self.front, self.caller, &buffer[..length], copies).await;
+    }
+  }
+
+  fn copies(&self, back: SocketAddr, rng: &mut SmallRng) -> Vec<Duration> {
+    let plan = lock(&self.fabric.plan);
+    if plan.is_cut(self.caller.ip(), back.ip()) {
+      return Vec::new();
+    }
+    plan.copies(rng)
+  }
+}
+
+async fn deliver(socket: &Arc<UdpSocket>, to: SocketAddr, datagram: &[u8], copies: Vec<Duration>) {
+  for delay in copies {
+    if delay.is_zero() {
+      let _ = socket.send_to(datagram, to).await;
+      continue;
+    }
+    let (socket, datagram) = (Arc::clone(socket), datagram.to_vec());
+    tokio::spawn(async move {
+      tokio::time::sleep(delay).await;
+      let _ = socket.send_to(&datagram, to).await;
+    });
+  }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+  mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,37 @@
+//! The dump of a process's state on request.
+
+use {
+  serde_json::{Map, Value},
+  std::sync::{Arc, Mutex, PoisonError},
+};
+
+/// Where each part of a process posts its state, and from where it is dumped.
+#[derive(Clone, Debug, Default)]
+pub struct Board(Arc<Mutex<Map<String, Value>>>);
+
+impl Board {
+  /// The state that a part posted last.
+  pub fn get(&self, part: &str) -> Option<Value> {
+    self
+      .0
+      .lock()
+      .unwrap_or_else(PoisonError::into_inner)
+      .get(part)
+      .cloned()
+  }
+
+  /// Replaces the state of a part.
+  pub fn post(&self, part: &str, state: Value) {
+    self
+      .0
+      .lock()
+      .unwrap_or_else(PoisonError::into_inner)
+      .insert(part.into(), state);
+  }
+
+  /// The whole state as JSON.
+  pub fn text(&self) -> String {
+    let parts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+    Value::Object(parts.clone()).to_string()
+  }
+}
--- /dev/null
+++ b/src/web.rs
@@ -0,0 +1,111 @@
+//! Small HTTP/1.1 requests and services, for the platform, the resource API and the stand-ins.
+
+use {
+  crate::code::{Code, Fault},
+  bytes::Bytes,
+  http::{Method, Request, Response, StatusCode},
+  http_body_util::{BodyExt, Full, Limited},
+  hyper::{
+    body::{Body, Incoming},
+    client,
+    server::conn::http1,
+    service::service_fn,
+  },
+  hyper_util::rt::{TokioIo, TokioTimer},
+  std::{convert::Infallible, error::Error, future::Future, net::SocketAddr, time::Duration},
+  tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+  },
+};
+
+/// The largest answer that is read, in bytes.
+const ANSWER_MAX: usize = 16 << 20;
+
+/// How long a service waits for the head of a request.
+const HEAD_MAX: Duration = Duration::from_secs(10);
+
+/// Sends one request and reads the whole answer within `limit`.
+pub async fn request(
+  to: SocketAddr,
+  method: Method,
+  path: &str,
+  body: impl Into<Bytes>,
+  limit: Duration,
+) -> Result<(StatusCode, Bytes), Fault> {
+  let failed =
+    |error: &dyn std::fmt::Display| Fault::new(Code::PlatformUnreachable, format!("{to}: {error}"));
+  let request = Request::builder()
+    .method(method)
+    .uri(path)
+    .header("host", to.to_string())
+    .body(Full::new(body.into()))
+    .map_err(|error| failed(&error))?;
+  match timeout(limit, exchange(to, request)).await {
+    Ok(Ok(answer)) => Ok(answer),
+    Ok(Err(error)) => Err(failed(&error)),
+    Err(elapsed) => Err(failed(&elapsed)),
+  }
+}
+
+async fn exchange(
+  to: SocketAddr,
+  request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), Box<dyn Error + Send + Sync>> {
+  let stream = TcpStream::connect(to).await?;
+  let (mut sender, connection) = client::conn::http1::handshake(TokioIo::new(stream)).await?;
+  let task = tokio::spawn(connection);
+  let answer = sender.send_request(request).await?;
+  let status = answer.status();
+  let body = Limited::new(answer.into_body(), ANSWER_MAX)
+    .collect()
+    .await?;
+  task.abort();
+  Ok((status, body.to_bytes()))
+}
+
+/// Serves requests at `address` until the task is dropped.
+pub async fn serve<F, R, B>(address: SocketAddr, handle: F) -> Result<(), Fault>
+where
+  F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+  R: Future<Output = Response<B>> + Send + 'static,
+  B: Body<Data = Bytes> + Send + 'static,
+  B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+  let listener = TcpListener::bind(address)
+    .await
+    .map_err(|error| Fault::new(Code::AddressUnavailable, format!("{address}: {error}")))?;
+  loop {
+    let Ok((stream, _)) = listener.accept().await else {
+      tokio::time::sleep(Duration::from_millis(10)).await;
+      continue;
+    };
+    let handle = handle.clone();
+    tokio::spawn(async move {
+      let service = service_fn(move |request| {
+        let answer = handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+      });
+      let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_MAX)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    });
+  }
+}
+
+/// A whole answer.
+pub fn answer(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+  let mut response = Response::new(Full::new(body.into()));
+  *response.status_mut() = status;
+  response
+}
+
+/// The value of a parameter in a request's query.
+pub fn parameter<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+  query?.split('&').find_map(|pair| {
+    let (key, value) = pair.split_once('=')?;
+    (key == name).then_some(value)
+  })
+}
