Keep dead and silent targets out of the chain of a packet

Cause: the randomised run over the machines found packets of live flows lost for good: a dead target of an earlier set, or a dead one that was leaving, stood in the chain and ended it; a remembered place that had died was sent to for ever; with all candidates silent nobody looked further. Among processes, two halves apart lost every second opening packet, since half of the targets silent was forgiven as a fault of this side, and an agent answered through a balancer that it knew only from a passed packet. Ruled out: the chain's length, the number of candidates (the trace of each failing packet shows the dead hop). Change: membership watches targets of earlier sets too; silent goes before leaving; silent ones get a copy beside the chain; a search asks all at once; a place that leaves three packets unanswered is forgotten; when all are silent, each may search. Conclusion: a wrong suspicion costs a copy, a right one costs nothing.

--- a/src/agent/gauge.rs
+++ b/src/agent/gauge.rs
@@ -9,6 +9,6 @@
   if age >= ramp {
     return held;
   }
-  let cold = 255.0 * (1.0 - age.as_secs_f64() / ramp.as_secs_f64());
-  held.max(cold as u8)
+  let left = ramp.saturating_sub(age).as_millis() * 255 / ramp.as_millis().max(1);
+  held.max(left.min(255) as u8)
 }
--- a/src/agent/generator.rs
+++ b/src/agent/generator.rs
@@ -7,7 +7,7 @@
 
 /// How long a connection ID is used before the transport replaces it. A tag secret may be removed
 /// once it has not been the current one for longer than this.
-const LIFETIME: Duration = Duration::from_secs(600);
+const LIFETIME: Duration = Duration::from_mins(10);
 
 /// Makes connection IDs that name the target.
 #[derive(Debug)]
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -89,8 +89,12 @@
 }
 
 async fn connection(shared: Arc<Shared>, incoming: Incoming) {
-  let Ok(connection) = incoming.await else {
-    return shared.counter.add("flows.failed", 1);
+  let connection = match incoming.await {
+    Ok(connection) => connection,
+    Err(error) => {
+      log::debug!("agent: flow failed: {error}.");
+      return shared.counter.add("flows.failed", 1);
+    }
   };
   let _open = Guard::new(&shared.flows);
   shared.counter.add("flows.opened", 1);
@@ -111,7 +115,8 @@
           requests.spawn(request(Arc::clone(&shared), caller, resolver));
         }
         Ok(None) => break,
-        Err(_) => {
+        Err(error) => {
+          log::debug!("agent: flow ended: {error}.");
           requests.abort_all();
           break;
         }
--- a/src/agent/tunnel.rs
+++ b/src/agent/tunnel.rs
@@ -193,11 +193,20 @@
         if action == Action::Reset {
           self.shared.counter.count(Code::FrameWrongIncarnation);
         }
-        self.shared.path().carried(now, carry.caller, balancer);
+        let direct = carry.hops == 0;
+        self
+          .shared
+          .path()
+          .carried(now, carry.caller, balancer, direct);
         self.tell_found(tagger, from, carry);
         self.deliver(carry.caller, packet);
       }
       Action::Pass(pass) => self.pass(tagger, balancer, carry, pass, packet, outbox),
+      Action::Search(others) => {
+        for to in others {
+          self.pass(tagger, balancer, carry, Pass::to(to), packet, outbox);
+        }
+      }
       Action::Refuse(code) => self.refuse(tagger, balancer, carry, code),
       Action::Skip => {}
     }
@@ -230,7 +239,6 @@
       hops: carry.hops.saturating_add(1),
       redirects: pass.redirects,
       revision: self.revision(),
-      searched: pass.searched,
       service: carry.service,
       target: pass.to.target,
       whole: pass.whole,
@@ -371,20 +379,23 @@
       .map(|instance| instance.tunnel)
       .collect::<Vec<_>>();
     self.shared.path().list(Instant::now(), &balancers);
-    let own = view
-      .services
-      .iter()
-      .find(|(_, service, _)| service.id == settings.service);
-    self.table = own.map(|(revision, service, history)| {
-      Table::new(*revision, service, history, usize::MAX, |target| {
-        if target.leaving {
-          Standing::Leaving
-        } else {
-          Standing::Live
-        }
-      })
+    let own = view.service(settings.service);
+    self.table = own.map(|seen| {
+      Table::new(
+        seen.revision,
+        &seen.service,
+        &seen.history,
+        usize::MAX,
+        |target| {
+          if target.leaving {
+            Standing::Leaving
+          } else {
+            Standing::Live
+          }
+        },
+      )
     });
-    let service = own.map(|(revision, service, _)| (*revision, Arc::new(service.clone())));
+    let service = own.map(|seen| (seen.revision, Arc::new(seen.service.clone())));
     self.shared.set_service(service);
     let tagger = view.keyring.as_ref().map(Tagger::new).transpose()?;
     self.tagger = tagger.map(Arc::new);
--- a/src/balancer/director.rs
+++ b/src/balancer/director.rs
@@ -8,7 +8,7 @@
     id,
     membership::{self, Action, Event, Member},
     net::{Batch, Socket},
-    peer::View,
+    peer::{Seen, View},
     routing::Table,
     state::Board,
     supervisor::Stop,
@@ -31,7 +31,7 @@
 const STEP: Duration = Duration::from_millis(100);
 
 /// A flow's opening packets may be of a target set that was replaced less than this ago.
-const OPENING: Duration = Duration::from_secs(60);
+const OPENING: Duration = Duration::from_mins(1);
 
 /// Builds what the workers route by, from the configuration and from what they report.
 pub struct Director {
@@ -105,14 +105,16 @@
   fn take_view(&mut self, view: Arc<View>) -> Result<(), Fault> {
     let now = Instant::now();
     self.view = view;
-    for (revision, service, _) in &self.view.services {
-      self.since.entry((service.id, *revision)).or_insert(now);
+    for seen in &self.view.services {
+      self
+        .since
+        .entry((seen.service.id, seen.revision))
+        .or_insert(now);
     }
     let view = Arc::clone(&self.view);
     self.since.retain(|(service, revision), _| {
-      view.services.iter().any(|(current, known, history)| {
-        known.id == *service
-          && (current == revision || history.iter().any(|(held, _)| held == revision))
+      view.service(*service).is_some_and(|seen| {
+        seen.revision == *revision || seen.history.iter().any(|set| set.revision == *revision)
       })
     });
     self.snapshot.tagger = view.keyring.as_ref().map(Tagger::new).transpose()?;
@@ -132,11 +134,20 @@
       .map(|instance| instance.tunnel)
       .collect::<Vec<_>>();
     let mut listed = Vec::new();
-    for (_, service, _) in &self.view.services {
+    for Seen {
+      history, service, ..
+    } in &self.view.services
+    {
       for target in &service.targets {
         let leaves = target.leaving || leaving.contains(&target.agent);
         listed.push(((service.id, target.id), target.agent, leaves));
       }
+      // Those of earlier sets may be dead: then they must not hold up a chain.
+      for target in history.iter().flat_map(|set| &set.targets) {
+        if service.target(target.id).is_none() {
+          listed.push(((service.id, target.id), target.agent, false));
+        }
+      }
     }
     listed
   }
@@ -170,12 +181,11 @@
       .view
       .services
       .iter()
-      .filter(|(revision, service, history)| {
-        let recent = self.recent(now, service.id, *revision, history);
-        let table = self.snapshot.services.get(&service.id);
-        table.is_some_and(|(_, table)| table.recent() != recent)
+      .filter(|seen| {
+        let table = self.snapshot.services.get(&seen.service.id);
+        table.is_some_and(|(_, table)| table.recent() != self.recent(now, seen))
       })
-      .map(|(_, service, _)| service.id)
+      .map(|seen| seen.service.id)
       .collect::<Vec<_>>();
     for service in changed {
       self.rebuild(now, Some(service));
@@ -249,13 +259,14 @@
     if only.is_none() {
       self.snapshot.services.clear();
     }
-    for (revision, service, history) in &view.services {
+    for seen in &view.services {
+      let service = &seen.service;
       if only.is_some_and(|only| only != service.id) {
         continue;
       }
-      let recent = self.recent(now, service.id, *revision, history);
+      let recent = self.recent(now, seen);
       let standing = |target: &config::Target| self.machine.standing((service.id, target.id));
-      let table = Table::new(*revision, service, history, recent, standing);
+      let table = Table::new(seen.revision, service, &seen.history, recent, standing);
       self
         .snapshot
         .services
@@ -269,22 +280,16 @@
   }
 
   /// How many sets, the current one counted, are recent enough for opening packets.
-  fn recent(
-    &self,
-    now: Instant,
-    service: id::Service,
-    revision: Revision,
-    history: &[(Revision, Vec<config::Target>)],
-  ) -> usize {
-    let mut successor = revision;
+  fn recent(&self, now: Instant, seen: &Seen) -> usize {
+    let mut successor = seen.revision;
     let mut recent = 1;
-    for (held, _) in history {
-      let replaced = self.since.get(&(service, successor));
+    for set in &seen.history {
+      let replaced = self.since.get(&(seen.service.id, successor));
       if replaced.is_some_and(|at| now.duration_since(*at) >= OPENING) {
         break;
       }
       recent += 1;
-      successor = *held;
+      successor = set.revision;
     }
     recent
   }
--- a/src/balancer/worker.rs
+++ b/src/balancer/worker.rs
@@ -153,15 +153,15 @@
         }
       }
       if token == TUNNEL {
-        self.from_tunnel(batch);
+        self.take_frames(batch);
       } else {
-        self.from_callers(token.0, batch);
+        self.take_packets(token.0, batch);
       }
     }
     true
   }
 
-  fn from_callers(&mut self, token: usize, batch: &Batch) {
+  fn take_packets(&mut self, token: usize, batch: &Batch) {
     let snapshot = Arc::clone(&self.snapshot);
     let Some(entry) = self.entries.get(&token) else {
       return;
@@ -199,7 +199,6 @@
       hops: 0,
       redirects: 0,
       revision: table.revision(),
-      searched: false,
       service: table.service(),
       target: hop.target,
       whole,
@@ -209,9 +208,19 @@
         chain,
         copies,
         first,
+        search,
       } => {
+        for target in &chain {
+          self.place.sent((table.service(), *target));
+        }
         for copy in copies {
-          self.post(tagger, copy, carry(copy, Vec::new(), false), packet, outbox)?;
+          self.post(
+            tagger,
+            copy,
+            carry(copy, Vec::new(), search),
+            packet,
+            outbox,
+          )?;
         }
         self.post(tagger, first, carry(first, chain, true), packet, outbox)
       }
@@ -236,7 +245,7 @@
     Ok(())
   }
 
-  fn from_tunnel(&mut self, batch: &Batch) {
+  fn take_frames(&mut self, batch: &Batch) {
     let snapshot = Arc::clone(&self.snapshot);
     let Some(tagger) = &snapshot.tagger else {
       self.counter.count(Code::NotReady);
--- a/src/config.rs
+++ b/src/config.rs
@@ -8,6 +8,7 @@
 mod record;
 mod route;
 mod service;
+mod set;
 mod store;
 mod target;
 
@@ -20,6 +21,7 @@
   record::Record,
   route::Route,
   service::Service,
+  set::Set,
   store::{HISTORY_LIMIT, Store, Verdict},
   target::Target,
 };
--- a/src/config/record.rs
+++ b/src/config/record.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Key, Target},
+  super::{Key, Set},
   crate::Revision,
   serde::{Deserialize, Serialize},
 };
@@ -9,7 +9,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Record {
   /// Earlier target sets, newest first.
-  pub history: Vec<(Revision, Vec<Target>)>,
+  pub history: Vec<Set>,
   /// The platform's name of the document.
   pub key: Key,
   /// The platform's revision.
--- a/src/config/store.rs
+++ b/src/config/store.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Digest, Document, Instance, Key, Keyring, Record, Service, Target},
+  super::{Digest, Document, Instance, Key, Keyring, Record, Service, Set},
   crate::{Revision, code::Fault, id},
   std::{
     collections::{BTreeMap, HashMap},
@@ -32,7 +32,7 @@
   /// The document in force, if any, and the revision that it came with.
   in_force: Option<(Revision, Document)>,
   /// Earlier target sets of a service, newest first.
-  history: Vec<(Revision, Vec<Target>)>,
+  history: Vec<Set>,
   /// Why the newest record is not in force.
   fault: Option<Fault>,
   /// The text of the document in force where it is not the newest, for peers that join.
@@ -60,7 +60,7 @@
   }
 
   /// Earlier target sets of a service, newest first.
-  pub fn history(&self, id: id::Service) -> &[(Revision, Vec<Target>)] {
+  pub fn history(&self, id: id::Service) -> &[Set] {
     self
       .entries
       .get(&Key::Service(id))
@@ -229,7 +229,13 @@
     let (in_force, fault) = match read {
       Ok(document) => {
         if let Some((revision, Document::Service(service))) = before {
-          history.insert(0, (revision, service.targets));
+          history.insert(
+            0,
+            Set {
+              revision,
+              targets: service.targets,
+            },
+          );
         }
         valid = None;
         (document.map(|document| (record.revision, document)), None)
@@ -261,15 +267,11 @@
 }
 
 /// Joins two histories, newest first, without the set in force and without doubles.
-fn merge(
-  history: &mut Vec<(Revision, Vec<Target>)>,
-  offered: &[(Revision, Vec<Target>)],
-  in_force: Option<Revision>,
-) {
+fn merge(history: &mut Vec<Set>, offered: &[Set], in_force: Option<Revision>) {
   history.extend(offered.iter().cloned());
-  history.retain(|(revision, _)| Some(*revision) != in_force);
-  history.sort_by_key(|(revision, _)| std::cmp::Reverse(*revision));
-  history.dedup_by_key(|(revision, _)| *revision);
-  history.dedup_by(|older, newer| older.1 == newer.1);
+  history.retain(|set| Some(set.revision) != in_force);
+  history.sort_by_key(|set| std::cmp::Reverse(set.revision));
+  history.dedup_by_key(|set| set.revision);
+  history.dedup_by(|older, newer| older.targets == newer.targets);
   history.truncate(HISTORY_LIMIT);
 }
--- a/src/flow/action.rs
+++ b/src/flow/action.rs
@@ -1,5 +1,7 @@
-use super::Pass;
-use crate::Code;
+use {
+  super::Pass,
+  crate::{Code, routing::Hop},
+};
 
 /// What is to be done with a packet.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -14,6 +16,8 @@
   Refuse(Code),
   /// Hand it to the transport so that it tells the caller: the flow was an earlier run's.
   Reset,
+  /// Send a copy to each of these targets, which take it only if the flow is theirs.
+  Search(Vec<Hop>),
   /// Drop it silently: a copy of a packet whose flow is not here.
   Skip,
 }
--- a/src/flow/machine.rs
+++ b/src/flow/machine.rs
@@ -14,6 +14,10 @@
 /// How often a target that cannot open a flow may send it to another.
 const REDIRECTS_MAX: u8 = 3;
 
+/// A target that leaves so many passed packets unanswered is no longer sent them first: it may be
+/// dead.
+const UNANSWERED_MAX: u8 = 3;
+
 /// What the machine is told.
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
@@ -41,6 +45,8 @@
 struct Passed {
   seen: Instant,
   to: id::Target,
+  /// Packets sent there since it last said that the flow is there.
+  unanswered: u8,
 }
 
 /// Decides over the packets that reach a target. QUIC's established flows name their target and
@@ -179,7 +185,7 @@
       *seen = now;
       return Action::Deliver;
     }
-    if !carry.whole && !carry.searched && carry.chain.is_empty() {
+    if !carry.whole && carry.chain.is_empty() {
       return Action::Skip;
     }
     let Some(table) = table else {
@@ -194,7 +200,7 @@
     if opens {
       return self.open(now, table, key, carry, flows);
     }
-    self.search(now, table, carry)
+    self.search(now, table)
   }
 
   /// Where the flow of this key was found before.
@@ -204,7 +210,12 @@
       return None;
     }
     let passed = self.passed.get_mut(&key)?;
+    if passed.unanswered >= UNANSWERED_MAX {
+      self.passed.remove(&key);
+      return None;
+    }
     passed.seen = now;
+    passed.unanswered += 1;
     let to = Hop::from(table.get(passed.to)?);
     let mut chain = carry.chain.clone();
     chain.retain(|target| *target != to.target);
@@ -253,27 +264,17 @@
     table.get(self.target).map_or(0, |entry| entry.connections)
   }
 
-  /// The chain did not find the flow of a packet that may not open it: all other targets are
-  /// asked, once, and at a bounded rate.
-  fn search(&mut self, now: Instant, table: &Table, carry: &Carry) -> Action {
-    if carry.searched || !self.may_search(now) {
+  /// The chain did not find the flow of a packet that may not open it: all other targets get a
+  /// copy, at a bounded rate. Copies rather than a chain, which a dead target would end.
+  fn search(&mut self, now: Instant, table: &Table) -> Action {
+    if !self.may_search(now) {
       return Action::Refuse(Code::FlowUnknown);
     }
-    let mut others = table
+    let others = table
       .entries()
       .iter()
       .filter(|entry| entry.id != self.target);
-    let Some(first) = others.next() else {
-      return Action::Refuse(Code::FlowUnknown);
-    };
-    Action::Pass(Pass {
-      chain: others
-        .map(|entry| entry.id)
-        .take(routing::CHAIN_MAX)
-        .collect(),
-      searched: true,
-      ..Pass::to(Hop::from(first))
-    })
+    Action::Search(others.map(Hop::from).take(routing::CHAIN_MAX).collect())
   }
 
   fn may_search(&mut self, now: Instant) -> bool {
@@ -301,7 +302,14 @@
       self.expire(now);
     }
     if self.passed.len() < self.settings.remembered_max {
-      self.passed.insert(key, Passed { seen: now, to });
+      self.passed.insert(
+        key,
+        Passed {
+          seen: now,
+          to,
+          unanswered: 0,
+        },
+      );
     }
   }
 }
--- a/src/flow/pass.rs
+++ b/src/flow/pass.rs
@@ -7,8 +7,6 @@
   pub chain: Vec<id::Target>,
   /// How often a target that could not open the flow has sent it to another.
   pub redirects: u8,
-  /// Whether all targets are being asked.
-  pub searched: bool,
   /// The next target.
   pub to: Hop,
   /// Whether the last target may open the flow.
@@ -17,11 +15,10 @@
 
 impl Pass {
   /// To one target, which may not open the flow.
-  pub(super) fn to(to: Hop) -> Self {
+  pub fn to(to: Hop) -> Self {
     Self {
       chain: Vec::new(),
       redirects: 0,
-      searched: false,
       to,
       whole: false,
     }
@@ -32,7 +29,6 @@
     Self {
       chain,
       redirects: carry.redirects,
-      searched: carry.searched,
       to,
       whole: carry.whole,
     }
--- a/src/flow/settings.rs
+++ b/src/flow/settings.rs
@@ -18,7 +18,7 @@
   fn default() -> Self {
     Self {
       hops_max: 48,
-      idle: Duration::from_secs(60),
+      idle: Duration::from_mins(1),
       remembered_max: 65_536,
       searches_per_second: 500,
     }
--- a/src/membership/machine.rs
+++ b/src/membership/machine.rs
@@ -170,6 +170,9 @@
     let mut before = std::mem::take(&mut self.members);
     let mut actions = Vec::new();
     for (member, address, leaving) in members {
+      if self.members.contains_key(&member) {
+        continue;
+      }
       let mut state = match before.remove(&member) {
         // A target at another address is another instance: nothing known of the former counts.
         Some(state) if state.address == address => state,
@@ -259,10 +262,10 @@
     .leaving_said
     .is_some_and(|said| now.duration_since(said) < settings.leaving_kept);
   let silent = state.unanswered > settings.silent_after;
-  let standing = if state.leaving_listed || said {
-    Standing::Leaving
-  } else if silent {
+  let standing = if silent {
     Standing::Silent
+  } else if state.leaving_listed || said {
+    Standing::Leaving
   } else {
     Standing::Live
   };
--- a/src/peer/machine.rs
+++ b/src/peer/machine.rs
@@ -207,7 +207,10 @@
         },
       )];
     }
-    vec![(from, Message::Buckets(self.store.digest().clone()))]
+    vec![(
+      from,
+      Message::Buckets(Box::new(self.store.digest().clone())),
+    )]
   }
 
   fn compare(&mut self, from: SocketAddr, digest: &Digest) -> Vec<Letter> {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Message {
   /// What the sender holds, by bucket.
-  Buckets(Digest),
+  Buckets(Box<Digest>),
   /// A hash of all that the sender holds, each second.
   Digest {
     /// How long ago some process heard from the platform, in milliseconds.
--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -171,14 +171,14 @@
 
   fn post(&self, machine: &Machine, view: &View) {
     let store = machine.store();
-    let services = view.services.iter().map(|(revision, service, history)| {
+    let services = view.services.iter().map(|seen| {
       json!({
-        "generation": service.generation,
-        "history": history.len(),
-        "id": service.id,
-        "name": service.name,
-        "revision": revision,
-        "targets": service.targets.iter().map(|target| target.id).collect::<Vec<_>>(),
+        "generation": seen.service.generation,
+        "history": seen.history.len(),
+        "id": seen.service.id,
+        "name": seen.service.name,
+        "revision": seen.revision,
+        "targets": seen.service.targets.iter().map(|target| target.id).collect::<Vec<_>>(),
       })
     });
     self.board.post(
@@ -186,7 +186,9 @@
       json!({
         "instances": view.instances.len(),
         "keys": store.len(),
-        "keyring": store.keyring().map(|keyring| keyring.current),
+        "keyring": store.keyring().map(|keyring| {
+          json!({ "current": keyring.current, "secrets": keyring.secrets.len() })
+        }),
         "reversions": store.reversions(),
         "root": store.digest().root(),
         "services": services.collect::<Vec<_>>(),
--- a/src/routing/machine.rs
+++ b/src/routing/machine.rs
@@ -46,6 +46,8 @@
     copies: Vec<Hop>,
     /// The first target.
     first: Hop,
+    /// Whether those that get a copy may look for the flow elsewhere, since all are silent.
+    search: bool,
   },
   /// To the target that the packet names.
   Named(Hop),
@@ -87,55 +89,57 @@
 
   fn chain(table: &Table, key: u64, opens: bool, loads: &impl Loads) -> Result<Route, Code> {
     let scores = Scores::new(table, key);
-    let open = scores.best(table, &table.sets(true)[0], |entry| {
-      entry.standing == Standing::Live
-    });
-    let preferred = Self::preferred(table, &open, loads);
+    let current = &table.sets(true)[0];
+    let open = scores.best(table, current, |entry| entry.standing == Standing::Live);
+    let mut last = Self::preferred(table, &open, loads);
+    if last.is_none() && opens {
+      // Nobody is known to live: the fault may be on this side, and one must be tried.
+      let silent = |entry: &Entry| entry.standing == Standing::Silent;
+      last = scores.best(table, current, silent).first().copied();
+    }
     let mut asked = Vec::with_capacity(8);
     let mut copies = Vec::new();
-    for set in table.sets(opens) {
-      for index in scores.best(table, set, |_| true) {
-        Self::ask(table, index, preferred, &mut asked, &mut copies);
+    let sets = table.sets(opens).iter();
+    let candidates = sets.flat_map(|set| scores.best(table, set, |_| true));
+    for index in candidates.chain(open) {
+      if Some(index) != last {
+        Self::ask(table, index, &mut asked, &mut copies);
       }
     }
-    for index in open {
-      Self::ask(table, index, preferred, &mut asked, &mut copies);
-    }
     asked.truncate(CHAIN_MAX - 1);
     asked.reverse();
-    asked.extend(preferred);
-    let (first, rest) = asked.split_first().ok_or(Code::PacketUnroutable)?;
-    let chain = rest
-      .iter()
-      .map(|index| table.entry(*index).id)
-      .collect::<Vec<_>>();
+    asked.extend(last);
+    let mut search = false;
+    if asked.is_empty() {
+      // All candidates are silent: another target may know where the flow is, and if all targets
+      // are silent, each is asked.
+      asked.extend(scores.any(table));
+      search = asked.is_empty();
+      if search {
+        copies = (0..table.entries().len() as u16).take(CHAIN_MAX).collect();
+        asked.extend(copies.pop());
+      }
+    }
+    let hops = asked.iter().map(|index| Hop::from(table.entry(*index)));
+    let mut hops = hops.collect::<Vec<_>>().into_iter();
+    let first = hops.next().ok_or(Code::PacketUnroutable)?;
+    let chain = hops.map(|hop| hop.target).collect::<Vec<_>>();
     debug_assert!(chain.len() < CHAIN_MAX);
+    let copies = copies.iter().map(|index| Hop::from(table.entry(*index)));
     Ok(Route::Chain {
       chain,
-      copies,
-      first: Hop::from(table.entry(*first)),
+      copies: copies.collect(),
+      first,
+      search,
     })
   }
 
-  /// Puts a candidate in its place: the silent ones are told aside, the preferred one goes last.
-  fn ask(
-    table: &Table,
-    index: u16,
-    preferred: Option<u16>,
-    asked: &mut Vec<u16>,
-    copies: &mut Vec<Hop>,
-  ) {
-    if Some(index) == preferred || asked.contains(&index) {
-      return;
-    }
-    let entry = table.entry(index);
-    if entry.standing != Standing::Silent || preferred.is_none() {
-      asked.push(index);
-      return;
-    }
-    let copy = Hop::from(entry);
-    if !copies.contains(&copy) {
-      copies.push(copy);
+  /// Puts a candidate in its place: silent ones are told aside, since a dead one ends a chain.
+  fn ask(table: &Table, index: u16, asked: &mut Vec<u16>, copies: &mut Vec<u16>) {
+    let silent = table.entry(index).standing == Standing::Silent;
+    let place = if silent { copies } else { asked };
+    if !place.contains(&index) {
+      place.push(index);
     }
   }
 
@@ -161,6 +165,15 @@
     )
   }
 
+  /// The best of all targets that are not silent.
+  fn any(&self, table: &Table) -> Option<u16> {
+    let entries = table.entries().iter().zip(0..);
+    entries
+      .filter(|(entry, _)| entry.standing != Standing::Silent)
+      .map(|(_, index)| index)
+      .max_by_key(|index: &u16| self.0[usize::from(*index)])
+  }
+
   /// The best candidates of a set, the first one first.
   fn best(&self, table: &Table, set: &[u16], fits: impl Fn(&Entry) -> bool) -> Vec<u16> {
     let mut best: Vec<u16> = Vec::with_capacity(CANDIDATES + 1);
--- a/src/routing/path.rs
+++ b/src/routing/path.rs
@@ -11,7 +11,7 @@
 const HEARD_WITHIN: Duration = Duration::from_millis(1500);
 
 /// How long a caller is remembered after its last packet.
-const CALLER_KEPT: Duration = Duration::from_secs(120);
+const CALLER_KEPT: Duration = Duration::from_mins(2);
 
 /// How many callers are remembered.
 const CALLERS_MAX: usize = 100_000;
@@ -31,9 +31,12 @@
 }
 
 impl Path {
-  /// A caller's packet came through a balancer.
-  pub fn carried(&mut self, now: Instant, caller: SocketAddr, balancer: SocketAddr) {
-    self.heard(now, balancer);
+  /// A caller's packet came through a balancer. One that another agent passed on is no sign that
+  /// the balancer can be reached from here.
+  pub fn carried(&mut self, now: Instant, caller: SocketAddr, balancer: SocketAddr, direct: bool) {
+    if direct {
+      self.heard(now, balancer);
+    }
     if self.callers.len() < CALLERS_MAX || self.callers.contains_key(&caller) {
       self.callers.insert(caller, (balancer, now));
     }
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -40,7 +40,7 @@
   pub fn new(
     revision: Revision,
     service: &config::Service,
-    history: &[(Revision, Vec<config::Target>)],
+    history: &[config::Set],
     recent: usize,
     standing: impl Fn(&config::Target) -> Standing,
   ) -> Self {
@@ -53,10 +53,12 @@
       sets: Vec::new(),
     };
     table.add(&service.targets, &standing);
-    for (_, targets) in history {
-      table.add(targets, |_| Standing::Leaving);
+    for set in history {
+      table.add(&set.targets, |target| match standing(target) {
+        Standing::Silent => Standing::Silent,
+        _ => Standing::Leaving,
+      });
     }
-    table.forgive();
     table
   }
 
@@ -79,27 +81,6 @@
     self.sets.push(set);
   }
 
-  /// When half of the targets or more seem silent, the fault is rather on this side, and nobody is
-  /// avoided for it.
-  fn forgive(&mut self) {
-    let current = &self.sets[0];
-    let count = |standing| {
-      current
-        .iter()
-        .filter(|index| self.entries[usize::from(**index)].standing == standing)
-        .count()
-    };
-    let silent = count(Standing::Silent);
-    if silent == 0 || silent < count(Standing::Live) {
-      return;
-    }
-    for entry in &mut self.entries {
-      if entry.standing == Standing::Silent {
-        entry.standing = Standing::Live;
-      }
-    }
-  }
-
   /// The entries of the current set.
   pub fn current(&self) -> impl Iterator<Item = &Entry> {
     self.sets[0].iter().map(|index| self.entry(*index))
--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -28,7 +28,7 @@
   pub key: PathBuf,
   /// How it logs.
   pub log: logging::Settings,
-  /// Where metrics are sent (StatsD over UDP).
+  /// Where metrics are sent (`StatsD` over UDP).
   pub metrics: Option<SocketAddr>,
   /// Some balancers, for a start without a list: their control addresses.
   pub peers: Vec<SocketAddr>,
--- a/src/settings/balancer.rs
+++ b/src/settings/balancer.rs
@@ -23,7 +23,7 @@
   pub linger_ms: u64,
   /// How it logs.
   pub log: logging::Settings,
-  /// Where metrics are sent (StatsD over UDP).
+  /// Where metrics are sent (`StatsD` over UDP).
   pub metrics: Option<SocketAddr>,
   /// Some peers, for a start without a list: their control addresses.
   pub peers: Vec<SocketAddr>,
--- a/src/standin/fabric.rs
+++ b/src/standin/fabric.rs
@@ -131,7 +131,7 @@
           return;
         };
         let cut = async {
-          while !lock(&fabric.plan).is_cut(caller.ip(), back.ip()) {
+          while !fabric.cuts(caller.ip(), listen.ip(), back.ip()) {
             tokio::time::sleep(STEP).await;
           }
         };
@@ -148,6 +148,12 @@
     }
   }
 
+  /// Whether who calls, or the front that it calls, is cut off from the back.
+  fn cuts(&self, caller: IpAddr, listen: IpAddr, back: IpAddr) -> bool {
+    let plan = lock(&self.plan);
+    plan.is_cut(caller, back) || plan.is_cut(listen, back)
+  }
+
   async fn control(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let path = request.uri().path().to_owned();
     let method = request.method().clone();
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -31,13 +31,16 @@
   state: Mutex<State>,
 }
 
+/// Texts and the revisions that they were put at; none where they were deleted.
+type Documents = BTreeMap<String, (Revision, Option<String>)>;
+
 #[derive(Debug, Default)]
 struct State {
-  documents: BTreeMap<String, (Revision, Option<String>)>,
+  documents: Documents,
   down: bool,
   reads: u64,
   revision: Revision,
-  stale: Option<(Revision, BTreeMap<String, (Revision, Option<String>)>)>,
+  stale: Option<(Revision, Documents)>,
 }
 
 impl Platform {
--- a/src/supervisor/tree.rs
+++ b/src/supervisor/tree.rs
@@ -24,7 +24,7 @@
 const FAILURES_MAX: u32 = 5;
 
 /// The time in which failures are counted.
-const WINDOW: Duration = Duration::from_secs(60);
+const WINDOW: Duration = Duration::from_mins(1);
 
 /// The root of a process: its parts are threads, started in order and stopped in reverse.
 #[derive(Debug)]
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -53,8 +53,6 @@
   pub redirects: u8,
   /// The revision of the service that the sender has in force.
   pub revision: Revision,
-  /// Whether all targets are being asked, after the chain did not find the flow.
-  pub searched: bool,
   /// The service whose address it arrived at.
   pub service: id::Service,
   /// The target that this frame is for.
--- a/tests/integration/child.rs
+++ b/tests/integration/child.rs
@@ -61,11 +61,6 @@
     self.signal(Signal::SIGHUP);
   }
 
-  /// Whether it has ended.
-  pub fn has_ended(&mut self) -> bool {
-    matches!(self.process.try_wait(), Ok(Some(_)))
-  }
-
   /// Waits for its end.
   pub fn wait(&mut self, limit: Duration) -> ExitStatus {
     let end = Instant::now() + limit;
@@ -79,7 +74,7 @@
   }
 
   fn signal(&self, signal: Signal) {
-    let _ = signal::kill(Pid::from_raw(self.process.id() as i32), signal);
+    let _ = signal::kill(Pid::from_raw(self.process.id().cast_signed()), signal);
   }
 }
 
--- a/tests/integration/fleet.rs
+++ b/tests/integration/fleet.rs
@@ -178,6 +178,11 @@
       arguments.push(format!("{}={backs}", self.address(*service)));
     }
     if self.relayed {
+      for number in 1..=self.wanted_balancers + 2 {
+        let (listed, real) = (self.platform_front(number), self.platform_address());
+        arguments.push("--front".into());
+        arguments.push(format!("{listed}={real}"));
+      }
       for (listed, real) in self.relays() {
         arguments.push("--front".into());
         arguments.push(format!("{listed}={real}"));
@@ -198,8 +203,9 @@
       }
     }
     for (service, targets) in &self.services {
-      for target in targets {
-        let host = agent_host(*service, *target);
+      let most = targets.iter().max().copied().unwrap_or(0);
+      for target in 1..=most + 2 {
+        let host = agent_host(*service, target);
         for port in [7100, 7200] {
           relays.push((self.net.at(host + 60, port), self.net.at(host, port)));
         }
@@ -222,7 +228,7 @@
       instance: id::Instance(number.into()),
       linger_ms: 1000,
       peers,
-      platform: self.platform_address(),
+      platform: self.platform_front(number),
       tunnel: self.listed_balancer(number, 7200),
       workers: self.workers,
       ..settings::Balancer::default()
@@ -243,6 +249,11 @@
 
   /// Starts an agent, or starts it again.
   pub fn start_agent(&mut self, service: u16, target: u32) {
+    self.start_agent_as((service, target), (service, target));
+  }
+
+  fn start_agent_as(&mut self, place: (u16, u32), identity: (u16, u32)) {
+    let (service, target) = place;
     let host = agent_host(service, target);
     let settings = settings::Agent {
       api: self.agent_api(service, target),
@@ -250,14 +261,15 @@
       certificate: self.directory.join("certificate.pem"),
       control: self.listed_agent(service, target, 7100),
       data_centre: "ernakulam".into(),
+      log: logging(),
       instance: id::Instance(1000 + u32::from(service) * 100 + target),
       key: self.directory.join("key.pem"),
       peers: (1..=self.wanted_balancers)
         .map(|number| self.listed_balancer(number, 7100))
         .collect(),
       platform: self.platform_address(),
-      service: id::Service(service),
-      target: id::Target(target),
+      service: id::Service(identity.0),
+      target: id::Target(identity.1),
       tunnel: self.listed_agent(service, target, 7200),
       upstream: self.upstream_address(service, target),
       ..settings::Agent::default()
@@ -267,6 +279,24 @@
     self.agents.insert((service, target), child);
   }
 
+  /// Kills a target's agent and starts one of another service at its address.
+  pub async fn replace_agent_by(&mut self, service: u16, target: u32, other: u16, as_target: u32) {
+    self.agent(service, target).kill();
+    self.start_agent_as((service, target), (other, as_target));
+    self.wait_ready(self.agent_api(service, target)).await;
+  }
+
+  /// Every address that takes datagrams: the service's, and the tunnels of all processes.
+  pub fn datagram_addresses(&self, service: u16) -> Vec<SocketAddr> {
+    let balancers = self.balancers.keys();
+    let mut addresses = vec![self.address(service)];
+    addresses.extend(balancers.map(|number| self.listed_balancer(*number, 7200)));
+    for (service, target) in self.agents.keys() {
+      addresses.push(self.listed_agent(*service, *target, 7200));
+    }
+    addresses
+  }
+
   fn program(&self, program: &str, name: &str, settings: &impl serde::Serialize) -> Child {
     let file = self.directory.join(format!("{name}.toml"));
     fs::write(&file, toml::to_string(settings).expect("settings")).expect("settings file");
@@ -411,6 +441,142 @@
       .expect("a flow opens")
   }
 
+  /// Opens a flow, or says why not.
+  pub async fn try_caller(&self, service: u16) -> Result<Caller, fallwell::code::Fault> {
+    let roots = [self.certificate.clone()];
+    Caller::open(self.address(service), NAME, &roots).await
+  }
+
+  /// Publishes the keyring and waits until every process has it in force.
+  pub async fn publish_keyring(&self) {
+    let text = json!(self.keyring).to_string();
+    self.put("keyring", &text).await;
+    let current = self.keyring.current;
+    let secrets = self.keyring.secrets.len();
+    until("the keyring is in force", || async {
+      for api in self.apis() {
+        let keyring = &get(api, "/v1/state").await["config"]["keyring"];
+        if keyring["current"] != current || keyring["secrets"] != secrets {
+          return false;
+        }
+      }
+      true
+    })
+    .await;
+  }
+
+  /// The API addresses of all processes.
+  pub fn apis(&self) -> Vec<SocketAddr> {
+    let balancers = self
+      .balancers
+      .keys()
+      .map(|number| self.balancer_api(*number));
+    let agents = self.agents.keys();
+    let agents = agents.map(|(service, target)| self.agent_api(*service, *target));
+    balancers.chain(agents).collect()
+  }
+
+  /// Waits until balancers have a revision of a service in force.
+  pub async fn wait_in_force(&self, balancers: &[u8], service: u16, revision: u64) {
+    until("a revision is in force", || async {
+      for number in balancers {
+        let path = format!("/v1/services/{service}");
+        let resource = get(self.balancer_api(*number), &path).await;
+        let newest = resource["revision_in_force"].as_u64() >= Some(revision);
+        if !newest || resource["conditions"]["in_force"]["status"] != true {
+          return false;
+        }
+      }
+      true
+    })
+    .await;
+  }
+
+  /// Waits until a target takes nothing new.
+  pub async fn wait_leaving(&self, service: u16, target: u32) {
+    until("a target leaves", || async {
+      self.agent_state(service, target).await["path"]["leaving"] == true
+    })
+    .await;
+  }
+
+  /// Waits until a target has a revision in force and takes new flows.
+  pub async fn wait_taking(&self, service: u16, target: u32, revision: u64) {
+    until("a target takes flows", || async {
+      let path = &self.agent_state(service, target).await["path"];
+      path["leaving"] == false && path["revision"].as_u64() >= Some(revision)
+    })
+    .await;
+  }
+
+  /// Waits until a target runs so many requests.
+  pub async fn wait_requests(&self, service: u16, target: u32, count: u64) {
+    until("requests run", || async {
+      let state = self.agent_state(service, target).await;
+      state["path"]["requests"].as_u64() >= Some(count)
+    })
+    .await;
+  }
+
+  /// Waits until the platform was read so many times more.
+  pub async fn wait_for_reads(&self, count: u64) {
+    let before = self.reads().await;
+    until("the platform is read", || async {
+      self.reads().await >= before + count
+    })
+    .await;
+  }
+
+  async fn reads(&self) -> u64 {
+    let figures = get(self.platform_address(), "/v1/figures").await;
+    figures["reads"].as_u64().expect("reads")
+  }
+
+  /// Replaces the platform by one that has only an old copy, with lower revisions.
+  pub async fn platform_goes_back(&mut self, service: u16, document: &str) {
+    self.platform = None;
+    let listen = self.platform_address().to_string();
+    self.platform = Some(self.standin(&["platform", "--listen", &listen]));
+    self.wait_for_platform().await;
+    self.put(&format!("service/{service}"), document).await;
+  }
+
+  /// The pairs of numbers to cut so that two groups of balancers do not reach each other.
+  pub fn cuts_between_balancers(&self, some: &[u8], others: &[u8]) -> Vec<(IpAddr, IpAddr)> {
+    let mut cuts = Vec::new();
+    for a in some {
+      for b in others {
+        cuts.push((ip(self.net.octets, 10 + a), ip(self.net.octets, 10 + b)));
+      }
+    }
+    cuts
+  }
+
+  /// The pair of numbers to cut so that a balancer does not reach the platform.
+  pub fn cut_from_platform(&self, number: u8) -> (IpAddr, IpAddr) {
+    (
+      self.platform_front(number).ip(),
+      self.platform_address().ip(),
+    )
+  }
+
+  /// The pairs of numbers to cut so that balancers do not reach agents.
+  pub fn cuts_to_agents(
+    &self,
+    service: u16,
+    balancers: &[u8],
+    targets: &[u32],
+  ) -> Vec<(IpAddr, IpAddr)> {
+    let mut cuts = Vec::new();
+    for a in balancers {
+      for b in targets {
+        let host = agent_host(service, *b);
+        cuts.push((ip(self.net.octets, 10 + a), ip(self.net.octets, host)));
+      }
+    }
+    cuts
+  }
+
   /// The state dump of a balancer.
   pub async fn balancer_state(&self, number: u8) -> Value {
     get(self.balancer_api(number), "/v1/state").await
@@ -470,6 +636,15 @@
     self.net.at(1, 7000)
   }
 
+  /// Where a balancer reaches the platform: a front of its own, so that it can be cut off.
+  fn platform_front(&self, number: u8) -> SocketAddr {
+    if self.relayed {
+      self.net.at(220 + number, 7000)
+    } else {
+      self.platform_address()
+    }
+  }
+
   fn fabric_address(&self) -> SocketAddr {
     self.net.at(1, 7001)
   }
@@ -485,6 +660,13 @@
   }
 }
 
+fn logging() -> fallwell::logging::Settings {
+  fallwell::logging::Settings {
+    level: "debug".into(),
+    ..fallwell::logging::Settings::default()
+  }
+}
+
 /// Agents stand at 81 to 110, twenty to a service; relayed ones are listed 60 higher.
 fn agent_host(service: u16, target: u32) -> u8 {
   70 + service as u8 * 15 + target as u8
--- a/tests/integration/wait.rs
+++ b/tests/integration/wait.rs
@@ -4,7 +4,7 @@
 };
 
 /// The longest that a condition is waited for.
-pub const LONGEST: Duration = Duration::from_secs(60);
+pub const LONGEST: Duration = Duration::from_mins(1);
 
 /// Waits until a condition holds, and fails with its name when it does not in time.
 pub async fn until<F, R>(what: &str, mut holds: F)
