Measure packets, decisions, memory, spread and round trips

Cause: the targets of the whole path were not measured. Change: benchmarks, each a program that prints its figures; a bare relay of ours as the baseline of packets; what tests and benchmarks share in one place.

--- /dev/null
+++ b/benches/spread.rs
@@ -0,0 +1,93 @@
+//! How fast a change spreads and what control costs, against the number of balancers: the real
+//! machines over a link in memory, in one process. Bytes are the codec's; `full_size` measures
+//! what the transport adds.
+
+#[path = "../tests/support/mod.rs"]
+#[allow(dead_code, reason = "shared with the tests")]
+mod support;
+
+use {
+  fallwell::{
+    Revision,
+    config::{Key, Record},
+    id,
+    peer::Machine,
+  },
+  std::time::{Duration, Instant},
+  support::mesh::{Mesh, instance, service},
+};
+
+const CHANGES: u64 = 20;
+
+fn records(carriers: usize) -> Vec<Record> {
+  // Agents are on the list too: 3,200 of them before 440 balancers, in proportion.
+  let agents = carriers * 3200 / 440;
+  let services = (carriers * 530 / 440) as u16;
+  let listed = (0..carriers + agents).map(|index| instance(index, 1 + index as u64));
+  let mut records = listed.collect::<Vec<_>>();
+  for record in &mut records[carriers..] {
+    if let Some(text) = &mut record.text {
+      *text = text.replace("balancer", "agent");
+    }
+  }
+  records.extend((1..=services).map(|id| service(id, 6, 100_000 + u64::from(id))));
+  records
+}
+
+fn all_have(revision: u64) -> impl Fn(&[Machine]) -> bool {
+  move |machines| {
+    machines.iter().all(|machine| {
+      machine.store().in_force(Key::Service(id::Service(1))) == Some(Revision(revision))
+    })
+  }
+}
+
+fn main() {
+  println!(
+    "balancers | spread p50 ms | worst ms | worst, 20% lost ms | quiet B/s a node | B a change a node | us a tick"
+  );
+  for carriers in [55, 110, 220, 440] {
+    let records = records(carriers);
+    let mut mesh = Mesh::new(carriers, &records, 1);
+    mesh.run(Duration::from_secs(3));
+    mesh.bytes.clear();
+    let begun = Instant::now();
+    mesh.run(Duration::from_secs(10));
+    let ticks = carriers as f64 * 10.0;
+    let tick = begun.elapsed().as_secs_f64() * 1e6 / ticks;
+    let quiet = total(&mesh) as f64 / ticks;
+    let (mut times, cost) = spread(&mut mesh, 200_000, quiet);
+    times.sort_unstable();
+    mesh.loss = 0.2;
+    let (lossy, _) = spread(&mut mesh, 300_000, quiet);
+    println!(
+      "{carriers:>9} | {:>13} | {:>8} | {:>18} | {quiet:>16.0} | {cost:>17.0} | {tick:>9.1}",
+      times[times.len() / 2].as_millis(),
+      times[times.len() - 1].as_millis(),
+      lossy.iter().max().map_or(0, Duration::as_millis),
+    );
+  }
+}
+
+fn total(mesh: &Mesh) -> u64 {
+  mesh.bytes.values().sum()
+}
+
+/// Publishes changes one after another; the times that they took, and bytes a change a node.
+fn spread(mesh: &mut Mesh, first: u64, quiet: f64) -> (Vec<Duration>, f64) {
+  let carriers = mesh.machines.len();
+  mesh.bytes.clear();
+  let mut times = Vec::new();
+  for change in 0..CHANGES {
+    let revision = first + change;
+    let at = change as usize * 7919 % carriers;
+    mesh.publish(at, service(1, 6 + change as u32 % 3, revision));
+    let took = mesh.run_until(Duration::from_secs(30), all_have(revision));
+    times.push(took.expect("a change spreads within 30 s"));
+    mesh.run(Duration::from_secs(1));
+  }
+  let passed: Duration = times.iter().sum::<Duration>() + Duration::from_secs(CHANGES);
+  let quiet = quiet * passed.as_secs_f64() * carriers as f64;
+  let cost = (total(mesh) as f64 - quiet) / CHANGES as f64 / carriers as f64;
+  (times, cost)
+}
--- a/src/bin/standin.rs
+++ b/src/bin/standin.rs
@@ -4,7 +4,7 @@
   fallwell::{
     code::{Code, Fault},
     process,
-    standin::{Fabric, Front, Platform, Upstream},
+    standin::{Fabric, Front, Platform, Relay, Upstream},
   },
   pico_args::Arguments,
   std::{net::SocketAddr, process::ExitCode},
@@ -12,6 +12,7 @@
 
 const HELP: &str = "\
 usage: fallwell-standin platform --listen ADDRESS
+       fallwell-standin relay --listen ADDRESS --to ADDRESS
        fallwell-standin upstream --listen ADDRESS --name NAME
        fallwell-standin fabric --listen ADDRESS [--seed N] --front ADDRESS=BACK[,BACK]...
 ";
@@ -45,6 +46,10 @@
       runtime.block_on(Fabric::run(listen, fronts, seed.unwrap_or(1)))
     }
     Some("platform") => runtime.block_on(Platform::run(listen)),
+    Some("relay") => {
+      let to = arguments.value_from_str("--to").map_err(invalid)?;
+      Relay::run(listen, to)
+    }
     Some("upstream") => {
       let name = arguments.value_from_str("--name").map_err(invalid)?;
       runtime.block_on(Upstream::run(listen, name))
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -4,11 +4,13 @@
 mod fabric;
 mod fault;
 mod platform;
+mod relay;
 mod upstream;
 
 pub use {
   fabric::{Fabric, Front},
   fault::Plan,
   platform::Platform,
+  relay::Relay,
   upstream::Upstream,
 };
--- a/tests/integration/broken_flows.rs
+++ b/tests/integration/broken_flows.rs
@@ -1,7 +1,7 @@
 //! Feeds that stay open under failure and change.
 
 use {
-  super::{
+  crate::support::{
     feeds::{Feed, Feeds},
     fleet::Fleet,
     wait::until,
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,9 +1,9 @@
 //! Proofs with real processes on loopback.
 
+#[path = "../support/mod.rs"]
+#[allow(dead_code, reason = "shared with the benchmarks")]
+mod support;
+
 mod broken_flows;
-mod child;
-mod feeds;
-mod fleet;
 mod services;
-mod wait;
 mod whole_path;
--- a/tests/integration/services.rs
+++ b/tests/integration/services.rs
@@ -1,7 +1,7 @@
 //! Several services side by side: no packet reaches one that it was not meant for.
 
 use {
-  super::{
+  crate::support::{
     feeds::Feeds,
     fleet::{Fleet, get},
     wait::until,
--- a/tests/integration/whole_path.rs
+++ b/tests/integration/whole_path.rs
@@ -1,5 +1,5 @@
 use {
-  super::fleet::Fleet,
+  crate::support::fleet::Fleet,
   http::{Method, StatusCode},
 };
 
--- a/tests/integration/child.rs
+++ b/tests/support/child.rs
@@ -5,7 +5,7 @@
   },
   std::{
     ffi::OsStr,
-    fs::File,
+    fs::{self, File},
     path::Path,
     process::{Child as Process, Command, ExitStatus, Stdio},
     time::{Duration, Instant},
@@ -61,6 +61,28 @@
     self.signal(Signal::SIGHUP);
   }
 
+  /// The processor time that it has used.
+  pub fn processor_time(&self) -> Duration {
+    let stat = fs::read_to_string(format!("/proc/{}/stat", self.process.id())).expect("stat");
+    let (_, rest) = stat.rsplit_once(')').expect("stat");
+    let fields = rest.split_whitespace().collect::<Vec<_>>();
+    let ticks = |index: usize| fields[index].parse::<u64>().expect("ticks");
+    // Fields 14 and 15 of the whole line, in hundredths of a second.
+    Duration::from_millis((ticks(11) + ticks(12)) * 10)
+  }
+
+  /// The memory that it holds, in bytes.
+  pub fn memory(&self) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", self.process.id()));
+    let status = status.expect("status");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+    kilobytes
+      .and_then(|text| text.parse::<u64>().ok())
+      .expect("memory")
+      * 1024
+  }
+
   /// Waits for its end.
   pub fn wait(&mut self, limit: Duration) -> ExitStatus {
     let end = Instant::now() + limit;
--- a/tests/integration/fleet.rs
+++ b/tests/support/fleet.rs
@@ -67,6 +67,7 @@
   agents: BTreeMap<(u16, u32), Child>,
   balancers: BTreeMap<u8, Child>,
   certificate: CertificateDer<'static>,
+  connections: u32,
   directory: PathBuf,
   drain_s: u64,
   fabric: Option<Child>,
@@ -78,6 +79,7 @@
   services: BTreeMap<u16, Vec<u32>>,
   upstreams: BTreeMap<(u16, u32), Child>,
   wanted_balancers: u8,
+  without_agents: bool,
   workers: usize,
 }
 
@@ -93,6 +95,7 @@
       agents: BTreeMap::new(),
       balancers: BTreeMap::new(),
       certificate: certificate(&directory),
+      connections: 2000,
       directory,
       drain_s: 30,
       fabric: None,
@@ -110,6 +113,7 @@
       services: BTreeMap::new(),
       upstreams: BTreeMap::new(),
       wanted_balancers: 2,
+      without_agents: false,
       workers: 1,
     }
   }
@@ -120,6 +124,12 @@
     self
   }
 
+  /// How many connections each target may hold.
+  pub fn connections(mut self, count: u32) -> Self {
+    self.connections = count;
+    self
+  }
+
   /// How long leaving targets keep their flows.
   pub fn drain_s(mut self, seconds: u64) -> Self {
     self.drain_s = seconds;
@@ -132,6 +142,12 @@
     self
   }
 
+  /// Starts no agents: something else stands at their addresses.
+  pub fn without_agents(mut self) -> Self {
+    self.without_agents = true;
+    self
+  }
+
   /// A service with targets 1 to `targets`.
   pub fn service(mut self, id: u16, targets: u32) -> Self {
     self.services.insert(id, (1..=targets).collect());
@@ -155,9 +171,11 @@
     for number in 1..=self.wanted_balancers {
       self.start_balancer(number);
     }
-    for (service, targets) in self.services.clone() {
-      for target in targets {
-        self.start_target(service, target);
+    if !self.without_agents {
+      for (service, targets) in self.services.clone() {
+        for target in targets {
+          self.start_target(service, target);
+        }
       }
     }
     self.ready().await;
@@ -304,7 +322,7 @@
     Child::start(program, &["--settings", &file.display().to_string()], &log)
   }
 
-  fn standin<S: AsRef<std::ffi::OsStr>>(&self, arguments: &[S]) -> Child {
+  pub fn standin<S: AsRef<std::ffi::OsStr>>(&self, arguments: &[S]) -> Child {
     Child::start(STANDIN, arguments, &self.directory.join("standins.log"))
   }
 
@@ -365,7 +383,7 @@
       .iter()
       .map(|target| config::Target {
         agent: self.listed_agent(service, *target, 7200),
-        connections: 2000,
+        connections: self.connections,
         id: id::Target(*target),
         leaving: false,
         slots: 5,
@@ -654,7 +672,7 @@
     self.net.at(host + number, port)
   }
 
-  fn listed_agent(&self, service: u16, target: u32, port: u16) -> SocketAddr {
+  pub fn listed_agent(&self, service: u16, target: u32, port: u16) -> SocketAddr {
     let host = agent_host(service, target) + if self.relayed { 60 } else { 0 };
     self.net.at(host, port)
   }
