Look only at members that something is known of

Cause: an idle balancer that holds the full size used 2.05% of a core, near the 2.3% for control: every 100 ms membership sorted 3,180 members and the state was written as JSON, and again with each report of a worker. Ruled out: packets (there were none), gossip (one digest a second). Change: membership walks the members with recent packets or not live; the state is posted twice a second, and at once when the version in force changes.

--- a/src/balancer/director.rs
+++ b/src/balancer/director.rs
@@ -30,6 +30,9 @@
 /// How often membership is looked at.
 const STEP: Duration = Duration::from_millis(100);
 
+/// How often the state is posted and the age of target sets is looked at.
+const POST: Duration = Duration::from_millis(500);
+
 /// A flow's opening packets may be of a target set that was replaced less than this ago.
 const OPENING: Duration = Duration::from_mins(1);
 
@@ -41,6 +44,8 @@
   machine: membership::Machine,
   /// When each set of targets came into force here.
   since: HashMap<(id::Service, Revision), Instant>,
+  posted: Instant,
+  posted_version: Option<u64>,
   snapshot: Snapshot,
   taken: HashMap<usize, u64>,
   totals: (u64, u64),
@@ -64,6 +69,8 @@
       counter,
       machine: membership::Machine::new(membership::Settings::default()),
       since: HashMap::new(),
+      posted: Instant::now(),
+      posted_version: None,
       snapshot: Snapshot::default(),
       taken: HashMap::new(),
       totals: (0, 0),
@@ -170,13 +177,21 @@
     for (member, code) in report.refused {
       self.step(now, Event::Refused(member, code));
     }
-    self.post();
+    let before = self.posted_version;
+    self.posted_version = self.version();
+    if before != self.posted_version {
+      self.post();
+    }
   }
 
   fn tick(&mut self) {
     let now = Instant::now();
     self.receive(now);
     self.step(now, Event::Tick);
+    if now.duration_since(self.posted) < POST {
+      return;
+    }
+    self.posted = now;
     let changed = self
       .view
       .services
@@ -294,9 +309,14 @@
     recent
   }
 
-  fn post(&self) {
-    let version = self.taken.values().min();
+  /// The version that all workers route by.
+  fn version(&self) -> Option<u64> {
     let all = self.taken.len() == self.workers.len();
+    let version = self.taken.values().min().copied();
+    version.filter(|version| all && *version > 0)
+  }
+
+  fn post(&self) {
     let avoided = self
       .machine
       .avoided()
@@ -311,7 +331,7 @@
         "packets_in": self.totals.0,
         "packets_out": self.totals.1,
         "targets": self.machine.len(),
-        "version": version.filter(|version| all && **version > 0),
+        "version": self.version(),
       }),
     );
     self.board.post("counters", json!(self.counter.snapshot()));
--- a/src/membership/machine.rs
+++ b/src/membership/machine.rs
@@ -1,7 +1,7 @@
 use {
   crate::{Code, id, routing::Standing},
   std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     time::{Duration, Instant},
   },
@@ -88,6 +88,8 @@
 /// says goes before both.
 #[derive(Debug)]
 pub struct Machine {
+  /// Members that packets went to lately or that are not live: only these are looked at.
+  active: BTreeSet<Member>,
   members: HashMap<Member, State>,
   nonce: u32,
   probes: (Option<Instant>, u32),
@@ -99,6 +101,7 @@
   /// A machine that knows nobody.
   pub fn new(settings: Settings) -> Self {
     Self {
+      active: BTreeSet::new(),
       members: HashMap::new(),
       nonce: 0,
       probes: (None, 0),
@@ -163,7 +166,11 @@
       return Vec::new();
     };
     change(state);
-    judge(now, &settings, member, state).into_iter().collect()
+    let action = judge(now, &settings, member, state);
+    if is_active(now, &settings, state) {
+      self.active.insert(member);
+    }
+    action.into_iter().collect()
   }
 
   fn list(&mut self, now: Instant, members: Vec<(Member, SocketAddr, bool)>) -> Vec<Action> {
@@ -180,6 +187,9 @@
       };
       state.leaving_listed = leaving;
       actions.extend(judge(now, &self.settings, member, &mut state));
+      if is_active(now, &self.settings, &state) {
+        self.active.insert(member);
+      }
       self.members.insert(member, state);
     }
     actions
@@ -191,9 +201,12 @@
       .is_some_and(|ticked| now.duration_since(ticked) > self.settings.slept);
     self.ticked = Some(now);
     let mut actions = Vec::new();
-    let mut members = self.members.keys().copied().collect::<Vec<_>>();
-    members.sort_unstable();
-    for member in members {
+    let (members, settings) = (&self.members, self.settings);
+    self.active.retain(|member| {
+      let state = members.get(member);
+      state.is_some_and(|state| is_active(now, &settings, state))
+    });
+    for member in self.active.clone() {
       if slept {
         self.forget_probes(member);
       }
@@ -276,6 +289,14 @@
   Some(Action::Changed(member, standing))
 }
 
+/// Whether a member has to be looked at as time passes.
+fn is_active(now: Instant, settings: &Settings, state: &State) -> bool {
+  let sent = state
+    .sent
+    .is_some_and(|sent| now.duration_since(sent) < settings.quiet * 4);
+  sent || state.standing != Standing::Live
+}
+
 /// Whether packets went to a target without a sign of it, or it is silent already.
 fn wants_probe(now: Instant, settings: &Settings, state: &State) -> bool {
   let since = |instant: Option<Instant>| instant.map(|instant| now.duration_since(instant));
