Take memory for 32 requests of a flow ahead, not 256

Cause: an agent grew by 65,204 bytes a flow; the transport makes room for every stream that the caller may open, 256 both ways and 100 one way. Ruled out: the agent's own state of a flow (37 bytes by key at the machine), the balancer (2 bytes a flow). Change: 32 requests at once, 8 one-way streams.

--- a/src/agent/tls.rs
+++ b/src/agent/tls.rs
@@ -19,8 +19,11 @@
 /// The largest packet that is tried: an Ethernet frame less the tunnel's header.
 const MTU_MAX: u16 = 1350;
 
-/// How many requests of one caller run at once.
-const STREAMS: u32 = 256;
+/// How many requests of one caller run at once. The transport takes memory for each ahead.
+const STREAMS: u32 = 32;
+
+/// How many one-way streams a caller may open: HTTP/3 needs three, and some are greased.
+const ONE_WAY_STREAMS: u32 = 8;
 
 /// Reads the certificate and the key, and makes the transport's settings of them.
 pub fn server(shared: &Shared) -> Result<ServerConfig, Fault> {
@@ -50,6 +53,7 @@
   transport
     .keep_alive_interval(Some(KEEP_ALIVE))
     .max_concurrent_bidi_streams(VarInt::from_u32(STREAMS))
+    .max_concurrent_uni_streams(VarInt::from_u32(ONE_WAY_STREAMS))
     .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_MS))))
     .mtu_discovery_config(Some(mtu));
   transport
