Run confirmations at most once and refuse truthfully

Cause: agents sent each request on, without slots, without memory of keys; a retry through another flow ran a confirmation again. Ruled out: going on at the next home when the first cannot be reached (it may be alive behind a cut and run the key later); forgetting old keys when memory is full; handing feeds to a peer (found by the drain proof: 3 of 8 flows hung on two targets, and the drained agent waited for them). Change: the ledger (home by rendezvous, joins, replays, claims from earlier homes, unknown where an earlier run may have run it), admission (slots, queue by deadline, fairness, shedding with the time to come back), hand-off of single requests to a free peer, retries within a tenth of first tries, final answers as problem documents. Conclusion: at most once holds under kills, freezes and moved homes; the cost is that a marked retry after a lost home is told that the outcome is unknown.

--- a/benches/memory.rs
+++ b/benches/memory.rs
@@ -78,6 +78,7 @@
     id: id::Service(1),
     name: String::new(),
     ramp_s: 0,
+    repeat_window_s: 600,
     routes: Vec::new(),
     targets: vec![fallwell::config::Target {
       agent: SocketAddr::from(([127, 0, 0, 1], 7200)),
--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -34,6 +34,7 @@
     id: id::Service(service),
     name: String::new(),
     ramp_s: 0,
+    repeat_window_s: 600,
     routes: Vec::new(),
     targets: targets.collect(),
   };
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -48,6 +48,7 @@
     id: id::Service(1),
     name: "dispatch".into(),
     ramp_s: 0,
+    repeat_window_s: 600,
     routes: Vec::new(),
     targets: targets.into(),
   }
--- a/src/agent/problem.rs
+++ b/src/agent/problem.rs
@@ -24,9 +24,22 @@
     }
   }
 
+  /// The refusal of a busy target, with the time until it may be free, in whole seconds.
+  pub fn busy(come_back: std::time::Duration) -> Self {
+    Self {
+      code: Code::RequestSlotsFull,
+      retry_after: come_back.as_millis().div_ceil(1000).max(1) as u32,
+    }
+  }
+
   /// The status: 503 only where the request was certainly not run, 504 where that is unknown.
   pub fn status(self) -> StatusCode {
     match self.code {
+      Code::FrameForged => StatusCode::FORBIDDEN,
+      Code::FrameWrongService | Code::FrameWrongTarget | Code::RequestKeyMoved => {
+        StatusCode::MISDIRECTED_REQUEST
+      }
+      Code::RequestKeyReused => StatusCode::UNPROCESSABLE_ENTITY,
       Code::RequestMalformed => StatusCode::BAD_REQUEST,
       Code::RequestOutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
       Code::RequestOversized => StatusCode::PAYLOAD_TOO_LARGE,
--- a/src/agent/proxy.rs
+++ b/src/agent/proxy.rs
@@ -1,27 +1,26 @@
 use {
   super::{
     Shared,
+    call::{Call, Feeder},
     guard::Guard,
+    home,
     problem::Problem,
-    upstream::{self, Answer, Feeder},
+    reply::{Live, Reply},
+    runner, upstream,
   },
-  crate::Code,
+  crate::{Code, ledger},
   bytes::{Buf, Bytes},
   h3::{error::Code as Reason, server::RequestStream},
   h3_quinn::{BidiStream, RecvStream, SendStream},
-  http::{Method, Request, Response, header},
-  std::{
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-  },
+  http::{Request, Response, header},
+  std::{net::SocketAddr, sync::Arc},
   tokio::sync::oneshot,
 };
 
 type Upload = RequestStream<RecvStream, Bytes>;
 type Download = RequestStream<SendStream<Bytes>, Bytes>;
 
-/// Carries one request of a caller to the upstream and its answer back.
+/// Carries one request of a caller to an upstream and its answer back.
 pub async fn run(
   shared: Arc<Shared>,
   caller: SocketAddr,
@@ -30,13 +29,11 @@
 ) {
   let _running = Guard::new(&shared.requests);
   let (mut download, upload) = stream.split();
-  if let Err(problem) = admit(&shared, &request) {
+  if let Err(problem) = check(&shared, &request) {
     return refuse(&shared, &mut download, problem).await;
   }
-  let route = shared.route(request.method().as_str(), request.uri().path());
-  let deadline = Duration::from_millis(route.deadline_ms);
   let (gone, given_up) = oneshot::channel();
-  let pieces = has_body(&request).then(|| {
+  let pieces = Call::has_body(&request).then(|| {
     let (feeder, pieces) = Feeder::new();
     let most = shared.settings.request_max;
     tokio::spawn(async move {
@@ -46,10 +43,16 @@
     });
     pieces
   });
+  let route = shared.route(request.method().as_str(), request.uri().path());
   let exchange = async {
-    match upstream::send(&shared, caller, request, pieces, deadline).await {
-      Ok(answer) => give_back(&shared, &mut download, answer).await,
-      Err(problem) => refuse(&shared, &mut download, problem).await,
+    let reply = match Call::new(caller, request, route, pieces).await {
+      Ok(call) => answer(&shared, call).await,
+      Err(problem) => Reply::Problem(problem),
+    };
+    match reply {
+      Reply::Held(answer) => give_held(&shared, &mut download, answer).await,
+      Reply::Live(live) => give_live(&shared, &mut download, live).await,
+      Reply::Problem(problem) => refuse(&shared, &mut download, problem).await,
     }
   };
   tokio::select! {
@@ -58,16 +61,21 @@
   }
 }
 
-/// Whether the request may run here at all.
-fn admit(shared: &Shared, request: &Request<()>) -> Result<(), Problem> {
-  if shared.leaving.load(Ordering::Relaxed) {
-    return Err(Problem {
-      retry_after: 0,
-      ..Problem::new(Code::RequestTargetLeaving)
-    });
+/// A request with a key that may not be repeated runs at the key's home; one without a key runs
+/// once, without retries.
+async fn answer(shared: &Arc<Shared>, mut call: Call) -> Reply {
+  if let Err(problem) = upstream::prepare(&mut call) {
+    return Reply::Problem(problem);
   }
-  let length = request.headers().get(header::CONTENT_LENGTH);
-  let Some(length) = length else {
+  match call.key() {
+    Some(key) if !call.route.repeatable => home::run(shared, call, key).await,
+    _ => runner::run(shared, call).await,
+  }
+}
+
+/// Whether the request can be run at all.
+fn check(shared: &Shared, request: &Request<()>) -> Result<(), Problem> {
+  let Some(length) = request.headers().get(header::CONTENT_LENGTH) else {
     return Ok(());
   };
   match length.to_str().map(str::parse::<u64>) {
@@ -79,14 +87,6 @@
   }
 }
 
-fn has_body(request: &Request<()>) -> bool {
-  let bodiless = matches!(
-    *request.method(),
-    Method::GET | Method::HEAD | Method::DELETE
-  );
-  !bodiless || request.headers().contains_key(header::CONTENT_LENGTH)
-}
-
 /// Hands the caller's body on; false when the caller gave up before its end.
 async fn feed(mut upload: Upload, mut feeder: Feeder, most: u64) -> bool {
   let mut total = 0;
@@ -112,18 +112,32 @@
   }
 }
 
+async fn give_held(shared: &Shared, download: &mut Download, answer: ledger::Answer) {
+  let mut head = Response::new(());
+  *head.status_mut() = answer.status;
+  *head.headers_mut() = (*answer.headers).clone();
+  upstream::strip(head.headers_mut());
+  let sent = download.send_response(head).await.is_ok()
+    && download.send_data(answer.body).await.is_ok()
+    && download.finish().await.is_ok();
+  if !sent {
+    shared.counter.count(Code::RequestCancelled);
+  }
+}
+
 /// Hands the answer to the caller. One that the upstream cuts is cut for the caller too, never
 /// ended as if it were whole.
-async fn give_back(shared: &Shared, download: &mut Download, mut answer: Answer) {
+async fn give_live(shared: &Shared, download: &mut Download, mut live: Live) {
+  let (status, headers) = live.head();
   let mut head = Response::new(());
-  *head.status_mut() = answer.response.status();
-  *head.headers_mut() = answer.response.headers().clone();
+  *head.status_mut() = status;
+  *head.headers_mut() = headers;
   upstream::strip(head.headers_mut());
   if download.send_response(head).await.is_err() {
     return shared.counter.count(Code::RequestCancelled);
   }
   loop {
-    match answer.piece().await {
+    match live.piece().await {
       Ok(Some(piece)) => {
         if download.send_data(piece).await.is_err() {
           return shared.counter.count(Code::RequestCancelled);
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Shared, generator::Generator, guard::Guard, pipe::Pipe, proxy, tls},
+  super::{Shared, generator::Generator, guard::Guard, handoff, pipe::Pipe, proxy, tls},
   crate::{Code, code::Fault, supervisor::Stop},
   bytes::Bytes,
   h3::server::{Connection, RequestResolver},
@@ -49,14 +49,16 @@
   let endpoint =
     Endpoint::new_with_abstract_socket(config, Some(server), pipe, Arc::new(TokioRuntime))
       .map_err(|error| Fault::new(Code::ChildFailed, error))?;
-  tokio::select! {
-    () = accept(shared, &endpoint) => {}
-    () = reload(shared, &endpoint) => {}
-    () = stop.wait() => {}
-  }
+  let result = tokio::select! {
+    () = accept(shared, &endpoint) => Ok(()),
+    result = handoff::serve(Arc::clone(shared)) => result,
+    () = reload(shared, &endpoint) => Ok(()),
+    () = shared.slots.run() => Ok(()),
+    () = stop.wait() => Ok(()),
+  };
   endpoint.close(VarInt::from_u32(0), b"stopped");
   let _ = tokio::time::timeout(FAREWELL, endpoint.wait_idle()).await;
-  Ok(())
+  result
 }
 
 async fn accept(shared: &Arc<Shared>, endpoint: &Endpoint) {
--- a/src/agent/tunnel.rs
+++ b/src/agent/tunnel.rs
@@ -43,7 +43,7 @@
   nonce: u32,
   poll: Poll,
   shared: Arc<Shared>,
-  table: Option<Table>,
+  table: Option<Arc<Table>>,
   tagger: Option<Arc<Tagger>>,
   version: u64,
 }
@@ -151,7 +151,7 @@
             key: found.key,
             target: found.target,
           };
-          self.machine.step(now, self.table.as_ref(), event);
+          self.machine.step(now, self.table.as_deref(), event);
         }
         Ok((Frame::Probe(probe), _)) => self.echo(&tagger, from, &probe),
         Ok((Frame::Refusal(refusal), _)) => {
@@ -182,7 +182,7 @@
       carry,
       flows: self.shared.flows.load(Ordering::Relaxed),
     };
-    let Some(action) = self.machine.step(now, self.table.as_ref(), event) else {
+    let Some(action) = self.machine.step(now, self.table.as_deref(), event) else {
       return;
     };
     if carry.service == self.shared.settings.service {
@@ -325,7 +325,7 @@
   fn revision(&self) -> Revision {
     self
       .table
-      .as_ref()
+      .as_deref()
       .map_or(Revision::default(), Table::revision)
   }
 
@@ -338,7 +338,7 @@
       let now = Instant::now();
       self
         .machine
-        .step(now, self.table.as_ref(), Event::Leaving(leaving));
+        .step(now, self.table.as_deref(), Event::Leaving(leaving));
     }
     self.probe();
     self.post();
@@ -381,7 +381,7 @@
     self.shared.path().list(Instant::now(), &balancers);
     let own = view.service(settings.service);
     self.table = own.map(|seen| {
-      Table::new(
+      Arc::new(Table::new(
         seen.revision,
         &seen.service,
         &seen.history,
@@ -393,10 +393,20 @@
             Standing::Live
           }
         },
-      )
+      ))
     });
     let service = own.map(|seen| (seen.revision, Arc::new(seen.service.clone())));
+    if let Some((_, service)) = &service {
+      let window = Duration::from_secs(service.repeat_window_s);
+      self.shared.ledger().set_window(window);
+      let own = service.target(settings.target);
+      self
+        .shared
+        .slots
+        .set(own.map_or(1, |target| target.slots) as usize);
+    }
     self.shared.set_service(service);
+    self.shared.set_table(self.table.clone());
     let tagger = view.keyring.as_ref().map(Tagger::new).transpose()?;
     self.tagger = tagger.map(Arc::new);
     self.shared.set_tagger(self.tagger.clone());
@@ -407,6 +417,8 @@
   fn post(&self) {
     let (owned, passed) = self.machine.remembered();
     let (callers, balancers) = self.shared.path().len();
+    let (running, waiting) = self.shared.slots.size();
+    let (keys, key_bytes) = self.shared.ledger().size();
     self.board.post(
       "path",
       json!({
@@ -414,11 +426,16 @@
         "callers": callers,
         "flows": self.shared.flows.load(Ordering::Relaxed),
         "incarnation": self.shared.incarnation,
+        "key_bytes": key_bytes,
+        "keys": keys,
         "leaving": self.machine.is_leaving(),
         "owned": owned,
         "passed": passed,
         "requests": self.shared.requests.load(Ordering::Relaxed),
         "revision": self.revision(),
+        "running": running,
+        "waiting": waiting,
+        "work": self.shared.work.load(Ordering::Relaxed),
         "version": Some(self.version).filter(|_| self.table.is_some()),
       }),
     );
--- a/src/agent/upstream.rs
+++ b/src/agent/upstream.rs
@@ -1,33 +1,60 @@
 use {
-  super::{Shared, problem::Problem},
+  super::{
+    call::{Body, Call, Pieces},
+    problem::Problem,
+  },
   crate::Code,
   bytes::Bytes,
-  futures::{SinkExt, channel::mpsc},
+  futures::{Stream, StreamExt, stream},
   http::{HeaderMap, Request, Response, header},
-  http_body_util::{BodyExt, Either, Empty, StreamBody},
+  http_body_util::{BodyExt, Either, Full, StreamBody},
   hyper::{
     body::{Frame, Incoming},
     client::conn::http1,
   },
   hyper_util::rt::TokioIo,
-  std::{io, net::SocketAddr, time::Duration},
+  std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll},
+    time::{Duration, Instant},
+  },
   tokio::{net::TcpStream, task::AbortHandle, time::timeout},
 };
 
-/// How long a connection to the upstream beside may take.
+/// How long a connection may take to be made.
 const CONNECT_MAX: Duration = Duration::from_secs(1);
 
-/// How many pieces of a body wait on their way.
-const PIECES: usize = 16;
+type Sent = Either<Full<Bytes>, StreamBody<Rest>>;
+
+/// The beginning of a body and the pieces that follow it.
+#[derive(Debug)]
+pub struct Rest(stream::Chain<stream::Iter<std::option::IntoIter<Piece>>, Pieces>);
+
+type Piece = Result<Frame<Bytes>, io::Error>;
 
-/// The pieces of a request's body; an error cuts it, so that the upstream never takes it for
-/// whole.
-pub type Pieces = mpsc::Receiver<Result<Frame<Bytes>, io::Error>>;
+impl Stream for Rest {
+  type Item = Piece;
 
-type Body = Either<Empty<Bytes>, StreamBody<Pieces>>;
+  fn poll_next(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<Option<Piece>> {
+    self.0.poll_next_unpin(context)
+  }
+}
+
+/// Why a request was not answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+  /// Nobody listens there: whoever did is dead, and the request did not leave.
+  Dead,
+  /// No connection was made in time: the request did not leave.
+  Unreachable,
+  /// The request left, and no answer came.
+  Unknown,
+}
 
 /// An answer and the connection that it comes by, which ends with it: a request that is given up
-/// is cancelled at the upstream.
+/// is cancelled on the other side.
 #[derive(Debug)]
 pub struct Answer {
   _connection: Connection,
@@ -44,100 +71,82 @@
   }
 }
 
-/// Where the pieces of a body are put in.
-#[derive(Debug)]
-pub struct Feeder(mpsc::Sender<Result<Frame<Bytes>, io::Error>>);
-
-impl Feeder {
-  /// A body and where its pieces are put in.
-  pub fn new() -> (Self, Pieces) {
-    let (sender, pieces) = mpsc::channel(PIECES);
-    (Self(sender), pieces)
-  }
-
-  /// Adds a piece; false when nobody reads any more.
-  pub async fn add(&mut self, piece: Bytes) -> bool {
-    self.0.send(Ok(Frame::data(piece))).await.is_ok()
-  }
-
-  /// Cuts the body.
-  pub async fn cut(&mut self) {
-    let cut = io::Error::new(io::ErrorKind::ConnectionAborted, "caller gave up");
-    let _ = self.0.send(Err(cut)).await;
+impl Answer {
+  /// The next piece of the body; none at its end, an error when it was cut.
+  pub async fn piece(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+    while let Some(frame) = self.response.body_mut().frame().await {
+      if let Ok(data) = frame?.into_data() {
+        return Ok(Some(data));
+      }
+    }
+    Ok(None)
   }
 }
 
-/// Sends a request to the upstream, once, over a connection of its own. Only a connection that was
-/// never made proves that the upstream has not run it.
-pub async fn send(
-  shared: &Shared,
-  caller: SocketAddr,
-  request: Request<()>,
-  pieces: Option<Pieces>,
-  deadline: Duration,
-) -> Result<Answer, Problem> {
-  let request = forwarded(caller, request, pieces)?;
-  let connect = TcpStream::connect(shared.settings.upstream);
-  let Ok(Ok(stream)) = timeout(CONNECT_MAX, connect).await else {
-    return Err(Problem::new(Code::RequestUpstreamUnreachable));
+/// Sends a call, once, over a connection of its own. Only a connection that was never made proves
+/// that it has not run.
+pub async fn send(to: SocketAddr, call: Call) -> Result<Answer, Failure> {
+  let start_by = call.start_by;
+  let stream = match timeout(CONNECT_MAX, TcpStream::connect(to)).await {
+    Ok(Ok(stream)) => stream,
+    Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+      return Err(Failure::Dead);
+    }
+    _ => return Err(Failure::Unreachable),
+  };
+  // A process that slept here must not start what nobody waits for any more.
+  let Some(left) = start_by.checked_duration_since(Instant::now()) else {
+    return Err(Failure::Unreachable);
   };
   let _ = stream.set_nodelay(true);
   let handshake = http1::handshake(TokioIo::new(stream)).await;
-  let (mut sender, connection) =
-    handshake.map_err(|_| Problem::new(Code::RequestUpstreamUnreachable))?;
+  let (mut sender, connection) = handshake.map_err(|_| Failure::Unreachable)?;
   let connection = Connection(tokio::spawn(connection).abort_handle());
-  match timeout(deadline, sender.send_request(request)).await {
+  match timeout(left, sender.send_request(request(call))).await {
     Ok(Ok(response)) => Ok(Answer {
       _connection: connection,
       response,
     }),
-    _ => Err(Problem::new(Code::RequestOutcomeUnknown)),
+    _ => Err(Failure::Unknown),
   }
 }
 
-impl Answer {
-  /// The next piece of the body; none at its end, an error when the upstream cut it.
-  pub async fn piece(&mut self) -> Result<Option<Bytes>, hyper::Error> {
-    while let Some(frame) = self.response.body_mut().frame().await {
-      if let Ok(data) = frame?.into_data() {
-        return Ok(Some(data));
-      }
+fn request(call: Call) -> Request<Sent> {
+  let body = match call.body {
+    Body::Stream(begun, rest) => {
+      let begun = stream::iter(Some(Ok(Frame::data(begun))));
+      Either::Right(StreamBody::new(Rest(begun.chain(rest))))
     }
-    Ok(None)
-  }
+    Body::Whole(bytes) => Either::Left(Full::new(bytes)),
+  };
+  Request::from_parts(call.head, body)
 }
 
-/// The request as the upstream gets it.
-fn forwarded(
-  caller: SocketAddr,
-  request: Request<()>,
-  pieces: Option<Pieces>,
-) -> Result<Request<Body>, Problem> {
-  let malformed = |_| Problem::new(Code::RequestMalformed);
-  let (mut parts, ()) = request.into_parts();
-  if let Some(authority) = parts.uri.authority() {
-    let host = header::HeaderValue::from_str(authority.as_str());
-    let host = host.map_err(|_| Problem::new(Code::RequestMalformed))?;
-    parts.headers.insert(header::HOST, host);
+/// Makes the head of a caller's request one that an HTTP/1.1 process takes.
+pub fn prepare(call: &mut Call) -> Result<(), Problem> {
+  let malformed = || Problem::new(Code::RequestMalformed);
+  let head = &mut call.head;
+  if let Some(authority) = head.uri.authority() {
+    let host = header::HeaderValue::from_str(authority.as_str()).map_err(|_| malformed())?;
+    head.headers.insert(header::HOST, host);
   }
-  let path = parts
-    .uri
-    .path_and_query()
-    .map_or("/", |path| path.as_str())
-    .parse()
-    .map_err(|_: http::uri::InvalidUri| Problem::new(Code::RequestMalformed))?;
-  let forwarded = header::HeaderValue::from_str(&caller.ip().to_string());
-  parts
+  let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+  head.uri = path.parse().map_err(|_| malformed())?;
+  head.version = http::Version::HTTP_11;
+  let from = header::HeaderValue::from_str(&call.caller.ip().to_string());
+  head
     .headers
-    .insert("x-forwarded-for", forwarded.map_err(malformed)?);
-  strip(&mut parts.headers);
-  parts.uri = path;
-  parts.version = http::Version::HTTP_11;
-  let body = match pieces {
-    Some(pieces) => Either::Right(StreamBody::new(pieces)),
-    None => Either::Left(Empty::new()),
-  };
-  Ok(Request::from_parts(parts, body))
+    .insert("x-forwarded-for", from.map_err(|_| malformed())?);
+  strip(&mut head.headers);
+  // Words between agents are never a caller's to say; the attempt is.
+  let own = head
+    .headers
+    .keys()
+    .filter(|name| name.as_str().starts_with("fallwell-") && name.as_str() != "fallwell-attempt");
+  for name in own.cloned().collect::<Vec<_>>() {
+    head.headers.remove(name);
+  }
+  Ok(())
 }
 
 /// Removes the headers that speak of one connection only (RFC 9110, 7.6.1).
--- a/src/code.rs
+++ b/src/code.rs
@@ -79,6 +79,10 @@
   RequestMalformed = 306, "request is malformed; the request was not run";
   RequestCancelled = 307, "caller gave the request up";
   RequestDeadline = 308, "request's deadline passed before it was run; the request was not run";
+  RequestLedgerFull = 309, "memory for keys is full; the request was not run";
+  RequestHomeUnreachable = 310, "the key's target cannot be reached; the request was not run";
+  RequestKeyReused = 311, "key was used for another request; the request was not run";
+  RequestKeyMoved = 312, "key has moved to another target";
   PlatformUnreachable = 401, "platform cannot be reached";
   PlatformStale = 402, "platform offered an older revision than the one held";
   PeerUnreachable = 403, "peer cannot be reached";
--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -6,6 +6,9 @@
 pub struct Route {
   /// How long a request may wait and run, in milliseconds.
   pub deadline_ms: u64,
+  /// Whether its answer goes on for long: it takes no slot, and is never handed to another target,
+  /// since it would then end with either.
+  pub feed: bool,
   /// The method, such as `POST`.
   pub method: String,
   /// The prefix of the path.
@@ -20,6 +23,7 @@
   fn default() -> Self {
     Self {
       deadline_ms: 10_000,
+      feed: false,
       method: "GET".into(),
       path: "/".into(),
       repeatable: false,
--- a/src/config/service.rs
+++ b/src/config/service.rs
@@ -29,6 +29,9 @@
   /// How long a target that has just started is given fewer new flows, in seconds.
   #[serde(default = "ramp_s")]
   pub ramp_s: u64,
+  /// How long a key of a request that may not be repeated counts, in seconds.
+  #[serde(default = "repeat_window_s")]
+  pub repeat_window_s: u64,
   /// What the operator says of its requests; the first that fits counts.
   #[serde(default)]
   pub routes: Vec<Route>,
@@ -44,6 +47,10 @@
   10
 }
 
+fn repeat_window_s() -> u64 {
+  600
+}
+
 impl Service {
   /// Checks what the types alone do not.
   pub fn check(&self) -> Result<(), Fault> {
@@ -56,6 +63,7 @@
     self.check_range("targets", self.targets.len() as u64, TARGETS_MAX as u64)?;
     self.check_range("drain_s", self.drain_s, 7 * 24 * 3600)?;
     self.check_range("ramp_s", self.ramp_s, 3600)?;
+    self.check_range("repeat_window_s", self.repeat_window_s, 24 * 3600)?;
     self.check_targets()?;
     self.check_routes()
   }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,9 @@
 //! Fallwell, a layer-4 load balancer whose flows outlive its processes.
 //!
-//! Decisions are state machines without clock, socket or thread ([`config`], [`flow`],
-//! [`membership`], [`routing`]); the programs ([`agent`], [`balancer`], [`command`]) feed them.
+//! Decisions are state machines without clock, socket or thread ([`admission`],
+//! [`config`], [`flow`], [`ledger`], [`membership`], [`peer`], [`routing`]); the programs ([`agent`], [`balancer`], [`command`]) feed them.
 
+pub mod admission;
 pub mod agent;
 pub mod api;
 pub mod balancer;
@@ -14,6 +15,7 @@
 pub mod counter;
 pub mod flow;
 pub mod id;
+pub mod ledger;
 pub mod logging;
 pub mod membership;
 pub mod net;
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -1,7 +1,10 @@
 use {
   super::{Rank, Standing},
   crate::{Revision, config, id},
-  std::{collections::HashMap, net::SocketAddr},
+  std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+  },
 };
 
 /// A target as routing sees it.
@@ -26,6 +29,8 @@
   entries: Vec<Entry>,
   /// How many of the sets are recent enough for a flow's opening packet to be of them.
   recent: usize,
+  /// The revisions that brought the sets.
+  revisions: Vec<Revision>,
   /// The revision in force.
   revision: Revision,
   /// The service.
@@ -48,12 +53,14 @@
       by_id: HashMap::new(),
       entries: Vec::new(),
       recent: recent.max(1),
+      revisions: vec![revision],
       revision,
       service: service.id,
       sets: Vec::new(),
     };
     table.add(&service.targets, &standing);
     for set in history {
+      table.revisions.push(set.revision);
       table.add(&set.targets, |target| match standing(target) {
         Standing::Silent => Standing::Silent,
         _ => Standing::Leaving,
@@ -95,6 +102,18 @@
     &self.entries[usize::from(index)]
   }
 
+  /// The first candidates of a key in the current set, leaving targets counted, and in each
+  /// earlier set from a revision on.
+  pub fn earlier_firsts(&self, key: u64, from: Revision) -> BTreeSet<id::Target> {
+    let sets = self.sets.iter().zip(&self.revisions);
+    let counted = sets.filter(|(_, revision)| **revision >= from);
+    let firsts = counted.filter_map(|(set, _)| {
+      let entries = set.iter().map(|index| self.entry(*index));
+      entries.max_by_key(|entry| entry.rank.score(key))
+    });
+    firsts.map(|entry| entry.id).collect()
+  }
+
   /// The entry of a target.
   pub fn get(&self, id: id::Target) -> Option<&Entry> {
     self.by_id.get(&id).map(|index| self.entry(*index))
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,5 +5,6 @@
 mod support;
 
 mod broken_flows;
+mod requests;
 mod services;
 mod whole_path;
--- a/tests/machines/main.rs
+++ b/tests/machines/main.rs
@@ -3,7 +3,9 @@
 #[path = "../support/mesh.rs"]
 mod mesh;
 
+mod admission;
 mod flow;
+mod ledger;
 mod membership;
 mod random_run;
 mod results;
--- a/tests/machines/world.rs
+++ b/tests/machines/world.rs
@@ -50,6 +50,7 @@
     id: SERVICE,
     name: "dispatch".into(),
     ramp_s: 0,
+    repeat_window_s: 600,
     routes: Vec::new(),
     targets: targets.into_iter().collect(),
   }
--- a/tests/support/child.rs
+++ b/tests/support/child.rs
@@ -35,6 +35,15 @@
     Self { process }
   }
 
+  /// Ends it at once, but not now.
+  pub fn kill_soon(&self, after: Duration) {
+    let pid = Pid::from_raw(self.process.id().cast_signed());
+    std::thread::spawn(move || {
+      std::thread::sleep(after);
+      let _ = signal::kill(pid, Signal::SIGKILL);
+    });
+  }
+
   /// Ends it at once.
   pub fn kill(&mut self) {
     let _ = self.process.kill();
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -68,6 +68,7 @@
   balancers: BTreeMap<u8, Child>,
   certificate: CertificateDer<'static>,
   connections: u32,
+  deadline_ms: u64,
   directory: PathBuf,
   drain_s: u64,
   fabric: Option<Child>,
@@ -96,6 +97,7 @@
       balancers: BTreeMap::new(),
       certificate: certificate(&directory),
       connections: 2000,
+      deadline_ms: 10_000,
       directory,
       drain_s: 30,
       fabric: None,
@@ -130,6 +132,12 @@
     self
   }
 
+  /// How long a request may wait and run.
+  pub fn deadline_ms(mut self, milliseconds: u64) -> Self {
+    self.deadline_ms = milliseconds;
+    self
+  }
+
   /// How long leaving targets keep their flows.
   pub fn drain_s(mut self, seconds: u64) -> Self {
     self.drain_s = seconds;
@@ -258,11 +266,31 @@
 
   /// Starts an upstream and the agent beside it.
   pub fn start_target(&mut self, service: u16, target: u32) {
+    self.spawn_upstream(service, target);
+    self.start_agent(service, target);
+  }
+
+  fn spawn_upstream(&mut self, service: u16, target: u32) {
     let upstream = self.upstream_address(service, target).to_string();
     let name = format!("{service}-{target}");
     let child = self.standin(&["upstream", "--listen", &upstream, "--name", &name]);
     self.upstreams.insert((service, target), child);
-    self.start_agent(service, target);
+  }
+
+  /// Starts an upstream again and waits until it answers.
+  pub async fn start_upstream(&mut self, service: u16, target: u32) {
+    self.spawn_upstream(service, target);
+    let upstream = self.upstream_address(service, target);
+    until("an upstream answers", || async {
+      let answer = web::request(upstream, Method::GET, "/journal", "", CALL_MAX).await;
+      answer.is_ok()
+    })
+    .await;
+  }
+
+  /// Kills an upstream; its agent stays.
+  pub fn kill_upstream(&mut self, service: u16, target: u32) {
+    self.upstreams.remove(&(service, target));
   }
 
   /// Starts an agent, or starts it again.
@@ -396,7 +424,8 @@
       id: id::Service(service),
       name: format!("service-{service}"),
       ramp_s: 0,
-      routes: Vec::new(),
+      repeat_window_s: 600,
+      routes: routes(self.deadline_ms),
       targets,
     }
   }
@@ -678,6 +707,31 @@
   }
 }
 
+/// What the operator of the tests says of the upstream stand-in's requests.
+fn routes(deadline_ms: u64) -> Vec<config::Route> {
+  let route = |method: &str, path: &str| config::Route {
+    deadline_ms,
+    method: method.into(),
+    path: path.into(),
+    ..config::Route::default()
+  };
+  vec![
+    config::Route {
+      feed: true,
+      ..route("GET", "/feed")
+    },
+    config::Route {
+      repeatable: true,
+      ..route("GET", "/")
+    },
+    config::Route {
+      weight: 2,
+      ..route("POST", "/confirm")
+    },
+    route("POST", "/"),
+  ]
+}
+
 fn logging() -> fallwell::logging::Settings {
   fallwell::logging::Settings {
     level: "debug".into(),
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -74,6 +74,7 @@
     id: id::Service(id),
     name: format!("service-{id}"),
     ramp_s: 10,
+    repeat_window_s: 600,
     routes: vec![config::Route::default(); 4],
     targets: targets.collect(),
   };
