Bind the hand-off's address before the agent counts as ready

Cause: the second of two runs of all integration tests failed (28 of 29): a confirmation's retry was told 504. Its home was ready, but its hand-off was not bound yet: the first try was refused there, ran at the next home, and the home, up by then, rightly did not run the retry. Change: the address is bound with the tunnel's, and an agent is ready only while it serves. Conclusion: a process that refuses connections must mean one that is dead.

--- a/src/agent/handoff.rs
+++ b/src/agent/handoff.rs
@@ -14,7 +14,6 @@
     id,
     ledger::{Action, Event},
     routing::Hop,
-    settings::bound,
     web,
   },
   bytes::Bytes,
@@ -27,6 +26,7 @@
     sync::Arc,
     time::{Duration, Instant},
   },
+  tokio::net::TcpListener,
 };
 
 /// Sets the tags of handed calls apart from others under the same secret.
@@ -137,8 +137,10 @@
 
 /// Takes calls from peers until the process ends.
 pub async fn serve(shared: Arc<Shared>) -> Result<(), Fault> {
-  let address = bound(shared.settings.tunnel, shared.settings.bind);
-  web::serve(address, move |request: Request<Incoming>| {
+  let failed = |error| Fault::new(Code::AddressUnavailable, error);
+  let listener = shared.handoffs.try_clone().map_err(failed)?;
+  let listener = TcpListener::from_std(listener).map_err(failed)?;
+  web::accept(listener, move |request: Request<Incoming>| {
     let shared = Arc::clone(&shared);
     async move {
       match take(&shared, request).await {
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -1,7 +1,7 @@
 use {
   super::{Shared, serve, tunnel::Tunnel},
   crate::{
-    code::Fault,
+    code::{Code, Fault},
     control,
     counter::Counter,
     logging,
@@ -14,6 +14,7 @@
   },
   crossbeam::channel,
   std::{
+    net::{SocketAddr, TcpListener},
     sync::{Arc, atomic::Ordering},
     thread,
     time::{Duration, Instant},
@@ -54,7 +55,8 @@
   let board = Board::default();
   let (views_in, views) = channel::unbounded();
   let tunnel = Socket::bind(bound(settings.tunnel, settings.bind), false)?;
-  let shared = Shared::new(settings.clone(), tunnel, Arc::clone(counter));
+  let handoffs = listen(bound(settings.tunnel, settings.bind))?;
+  let shared = Shared::new(settings.clone(), tunnel, handoffs, Arc::clone(counter));
   let node = Node::new(
     settings.control,
     settings.bind,
@@ -79,6 +81,14 @@
   Ok(shared)
 }
 
+fn listen(address: SocketAddr) -> Result<TcpListener, Fault> {
+  let listener = TcpListener::bind(address).and_then(|listener| {
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+  });
+  listener.map_err(|error| Fault::new(Code::AddressUnavailable, format!("{address}: {error}")))
+}
+
 /// Takes nothing new, asks the callers to move, and waits until they have or their time is over.
 fn depart(shared: &Shared) {
   let drain = shared.service().map_or(0, |service| service.drain_s);
--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -49,6 +49,7 @@
   let endpoint =
     Endpoint::new_with_abstract_socket(config, Some(server), pipe, Arc::new(TokioRuntime))
       .map_err(|error| Fault::new(Code::ChildFailed, error))?;
+  shared.serving.store(true, Ordering::Relaxed);
   let result = tokio::select! {
     () = accept(shared, &endpoint) => Ok(()),
     result = handoff::serve(Arc::clone(shared)) => result,
--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -16,7 +16,7 @@
   futures::task::AtomicWaker,
   std::{
     collections::{BTreeSet, HashMap, VecDeque},
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     sync::{
       Arc, Mutex, MutexGuard, PoisonError, RwLock,
       atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
@@ -47,6 +47,11 @@
   pub departing: AtomicBool,
   /// The flows that are open.
   pub flows: AtomicU32,
+  /// Where peers hand calls over. It is bound before the process is ready, since a home that
+  /// refuses connections counts as dead.
+  pub handoffs: TcpListener,
+  /// Set while callers are served.
+  pub serving: AtomicBool,
   /// The work that the upstream was given, by weight, for the measure of imbalance.
   pub work: AtomicU64,
   /// This run of the agent.
@@ -83,7 +88,12 @@
 
 impl Shared {
   /// What the parts of an agent with these settings share.
-  pub fn new(settings: settings::Agent, tunnel: Socket, counter: Arc<Counter>) -> Arc<Self> {
+  pub fn new(
+    settings: settings::Agent,
+    tunnel: Socket,
+    handoffs: TcpListener,
+    counter: Arc<Counter>,
+  ) -> Arc<Self> {
     Arc::new(Self {
       avoided: Mutex::default(),
       budget: Mutex::default(),
@@ -91,6 +101,7 @@
       counter,
       departing: AtomicBool::new(false),
       flows: AtomicU32::new(0),
+      handoffs,
       incarnation: id::Incarnation(rand::random()),
       leaving: AtomicBool::new(false),
       ledger: Mutex::new(ledger::Machine::new(ledger::Settings::default())),
@@ -100,6 +111,7 @@
       requests: AtomicU32::new(0),
       running: Mutex::default(),
       service: RwLock::default(),
+      serving: AtomicBool::new(false),
       settings,
       slots: Slots::default(),
       started: Instant::now(),
--- a/src/agent/tunnel.rs
+++ b/src/agent/tunnel.rs
@@ -418,6 +418,7 @@
     let (owned, passed) = self.machine.remembered();
     let (callers, balancers) = self.shared.path().len();
     let (running, waiting) = self.shared.slots.size();
+    let serving = self.table.is_some() && self.shared.serving.load(Ordering::Relaxed);
     let (keys, key_bytes) = self.shared.ledger().size();
     self.board.post(
       "path",
@@ -436,7 +437,7 @@
         "running": running,
         "waiting": waiting,
         "work": self.shared.work.load(Ordering::Relaxed),
-        "version": Some(self.version).filter(|_| self.table.is_some()),
+        "version": Some(self.version).filter(|_| serving),
       }),
     );
     self
--- a/src/web.rs
+++ b/src/web.rs
@@ -64,7 +64,7 @@
   Ok((status, body.to_bytes()))
 }
 
-/// Serves requests at `address` until the task is dropped.
+/// Binds an address and serves requests at it until the task is dropped.
 pub async fn serve<F, R, B>(address: SocketAddr, handle: F) -> Result<(), Fault>
 where
   F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
@@ -75,6 +75,17 @@
   let listener = TcpListener::bind(address)
     .await
     .map_err(|error| Fault::new(Code::AddressUnavailable, format!("{address}: {error}")))?;
+  accept(listener, handle).await
+}
+
+/// Serves requests at a bound address until the task is dropped.
+pub async fn accept<F, R, B>(listener: TcpListener, handle: F) -> Result<(), Fault>
+where
+  F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+  R: Future<Output = Response<B>> + Send + 'static,
+  B: Body<Data = Bytes> + Send + 'static,
+  B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
   loop {
     let Ok((stream, _)) = listener.accept().await else {
       tokio::time::sleep(Duration::from_millis(10)).await;
