Give operators a command line, metrics and samples, and measure balance

Cause: operators had settings and an API but no tool; the balance of requests was not measured. Change: fallwell check, describe, drain-status, dump, get, probe, wait, watch; metrics by StatsD; commented samples, kept valid by a test; a benchmark of weighted work over targets, with hand-off and with flows alone.

--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -172,7 +172,7 @@
   tokio::spawn(Fabric::run(at(1, 7001), vec![front], 1));
   for target in [1, 2] {
     let name = format!("upstream-{target}");
-    tokio::spawn(Upstream::run(at(20 + target, 8080), name));
+    tokio::spawn(Upstream::run(at(20 + target, 8080), name, 1));
   }
   tokio::time::sleep(Duration::from_millis(200)).await;
   publish_all()
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -4,7 +4,7 @@
     code::{Code, Fault},
     control,
     counter::Counter,
-    logging,
+    logging, metrics,
     net::Socket,
     peer::{self, Machine, Node, Role},
     process::{Process, Signal},
@@ -53,6 +53,12 @@
   tree: &mut Tree,
 ) -> Result<Arc<Shared>, Fault> {
   let board = Board::default();
+  if let Some(server) = settings.metrics {
+    let (counter, board) = (Arc::clone(counter), board.clone());
+    tree.start("metrics", move |stop| {
+      metrics::run(server, &counter, || board.all(), stop)
+    })?;
+  }
   let (views_in, views) = channel::unbounded();
   let tunnel = Socket::bind(bound(settings.tunnel, settings.bind), false)?;
   let handoffs = listen(bound(settings.tunnel, settings.bind))?;
--- a/src/api.rs
+++ b/src/api.rs
@@ -140,7 +140,15 @@
       &format!("found `{after}`, expected a number, in `after`"),
     );
   };
-  let end = Instant::now() + WATCH_MAX;
+  let wait = web::parameter(query, "wait_ms").map(str::parse::<u64>);
+  let wait = match wait {
+    None => WATCH_MAX,
+    Some(Ok(milliseconds)) => Duration::from_millis(milliseconds).min(WATCH_MAX),
+    Some(Err(_)) => {
+      return fault(StatusCode::BAD_REQUEST, "expected a number, in `wait_ms`");
+    }
+  };
+  let end = Instant::now() + wait;
   while node.machine().version() <= after && Instant::now() < end {
     tokio::time::sleep(Duration::from_millis(50)).await;
   }
--- a/src/balancer/run.rs
+++ b/src/balancer/run.rs
@@ -4,7 +4,7 @@
     code::Fault,
     control,
     counter::Counter,
-    logging,
+    logging, metrics,
     peer::{self, Machine, Node, Role},
     process::{Process, Signal},
     settings::{self, bound},
@@ -47,6 +47,12 @@
   tree: &mut Tree,
 ) -> Result<Arc<AtomicBool>, Fault> {
   let board = Board::default();
+  if let Some(server) = settings.metrics {
+    let (counter, board) = (Arc::clone(counter), board.clone());
+    tree.start("metrics", move |stop| {
+      metrics::run(server, &counter, || board.all(), stop)
+    })?;
+  }
   let leaving = Arc::new(AtomicBool::new(false));
   let (views_in, views) = channel::unbounded();
   let node = Node::new(
--- a/src/bin/fallwell.rs
+++ b/src/bin/fallwell.rs
@@ -1,3 +1,10 @@
 //! `fallwell`: the operators' command line.
 
-fn main() {}
+use {
+  fallwell::{command, process},
+  std::process::ExitCode,
+};
+
+fn main() -> ExitCode {
+  process::finish("fallwell", command::run())
+}
--- a/src/bin/standin.rs
+++ b/src/bin/standin.rs
@@ -13,7 +13,7 @@
 const HELP: &str = "\
 usage: fallwell-standin platform --listen ADDRESS
        fallwell-standin relay --listen ADDRESS --to ADDRESS
-       fallwell-standin upstream --listen ADDRESS --name NAME
+       fallwell-standin upstream --listen ADDRESS --name NAME [--slowness N]
        fallwell-standin fabric --listen ADDRESS [--seed N] --front ADDRESS=BACK[,BACK]...
 ";
 
@@ -52,7 +52,10 @@
     }
     Some("upstream") => {
       let name = arguments.value_from_str("--name").map_err(invalid)?;
-      runtime.block_on(Upstream::run(listen, name))
+      let slowness = arguments
+        .opt_value_from_str("--slowness")
+        .map_err(invalid)?;
+      runtime.block_on(Upstream::run(listen, name, slowness.unwrap_or(1)))
     }
     other => Err(Fault::new(
       Code::ArgumentInvalid,
--- a/src/command.rs
+++ b/src/command.rs
@@ -1,1 +1,148 @@
-//! The command line of `fallwell`.
+//! The command line of `fallwell`: each verb is a module.
+
+mod check;
+mod drain_status;
+mod get;
+mod output;
+mod probe;
+mod wait;
+mod watch;
+
+use {
+  crate::{
+    code::{Code, Fault},
+    peer::Client,
+    web,
+  },
+  http::Method,
+  pico_args::Arguments,
+  serde_json::Value,
+  std::{net::SocketAddr, time::Duration},
+};
+
+const HELP: &str = "\
+usage: fallwell VERB [OPTIONS]
+
+  check         read and check documents and settings
+  describe      show one service: what is wanted, what is in force, and why not
+  drain-status  show what a leaving target still holds
+  dump          show the whole state of a process
+  get           list the services
+  probe         open flows, send requests, and report broken flows and times
+  wait          wait until a generation is in force everywhere
+  watch         show the services anew with each change
+
+`fallwell VERB --help` shows the options of a verb. Exit codes: 0 done, 1 failed, 2 an argument, a
+document or settings are not valid, 3 a wait has timed out.
+";
+
+const DUMP_HELP: &str = "\
+usage: fallwell dump (--api ADDRESS | --control ADDRESS)
+
+  --api ADDRESS      ask the resource API of a process
+  --control ADDRESS  ask where its peers reach it
+";
+
+/// How long one question may take.
+const CALL_MAX: Duration = Duration::from_secs(5);
+
+/// Runs the verb that the arguments name.
+pub fn run() -> Result<(), Fault> {
+  let mut arguments = Arguments::from_env();
+  let verb = arguments.subcommand().map_err(invalid)?;
+  let help = arguments.contains(["-h", "--help"]);
+  let runtime = tokio::runtime::Builder::new_multi_thread()
+    .worker_threads(2)
+    .enable_all()
+    .build()
+    .map_err(|error| Fault::new(Code::ChildFailed, error))?;
+  let verb = verb.unwrap_or_default();
+  if help || verb.is_empty() {
+    return show_help(&verb);
+  }
+  match verb.as_str() {
+    "check" => check::run(arguments),
+    "describe" => runtime.block_on(get::describe(arguments)),
+    "drain-status" => runtime.block_on(drain_status::run(arguments)),
+    "dump" => runtime.block_on(dump(arguments)),
+    "get" => runtime.block_on(get::run(arguments)),
+    "probe" => runtime.block_on(probe::run(arguments)),
+    "wait" => runtime.block_on(wait::run(arguments)),
+    "watch" => runtime.block_on(watch::run(arguments)),
+    _ => Err(unknown(&verb)),
+  }
+}
+
+fn show_help(verb: &str) -> Result<(), Fault> {
+  let help = match verb {
+    "" => HELP,
+    "check" => check::HELP,
+    "describe" => get::DESCRIBE_HELP,
+    "drain-status" => drain_status::HELP,
+    "dump" => DUMP_HELP,
+    "get" => get::HELP,
+    "probe" => probe::HELP,
+    "wait" => wait::HELP,
+    "watch" => watch::HELP,
+    _ => return Err(unknown(verb)),
+  };
+  print!("{help}");
+  Ok(())
+}
+
+async fn dump(mut arguments: Arguments) -> Result<(), Fault> {
+  let api: Option<SocketAddr> = arguments.opt_value_from_str("--api").map_err(invalid)?;
+  let control = arguments.opt_value_from_str("--control").map_err(invalid)?;
+  finish(arguments)?;
+  let text = match (api, control) {
+    (Some(api), None) => ask(api, "/v1/state").await?.to_string(),
+    (None, Some(control)) => Client::new(None).dump(control).await?,
+    _ => {
+      return Err(Fault::new(
+        Code::ArgumentInvalid,
+        "expected one of `--api` and `--control`",
+      ));
+    }
+  };
+  println!("{text}");
+  Ok(())
+}
+
+/// Reads JSON from the resource API of a process.
+async fn ask(api: SocketAddr, path: &str) -> Result<Value, Fault> {
+  let (status, body) = web::request(api, Method::GET, path, "", CALL_MAX).await?;
+  let value: Value = serde_json::from_slice(&body)
+    .map_err(|error| Fault::new(Code::PeerUnreachable, format!("{api}: {error}")))?;
+  if status.is_success() {
+    return Ok(value);
+  }
+  let code = value["code"].as_u64().unwrap_or_default() as u16;
+  let code = Code::from_number(code).unwrap_or(Code::PeerUnreachable);
+  let detail = value["detail"].as_str().unwrap_or_default();
+  Err(Fault::new(code, format!("{api}: {detail}")))
+}
+
+/// Fails when an argument is left that no option took.
+fn finish(arguments: Arguments) -> Result<(), Fault> {
+  match arguments.finish().first() {
+    Some(rest) => Err(Fault::new(
+      Code::ArgumentInvalid,
+      format!(
+        "found `{}`, expected an option that `--help` lists",
+        rest.display()
+      ),
+    )),
+    None => Ok(()),
+  }
+}
+
+fn invalid(error: pico_args::Error) -> Fault {
+  Fault::new(Code::ArgumentInvalid, error)
+}
+
+fn unknown(verb: &str) -> Fault {
+  Fault::new(
+    Code::ArgumentInvalid,
+    format!("found verb `{verb}`, expected one that `fallwell --help` lists"),
+  )
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ledger;
 pub mod logging;
 pub mod membership;
+pub mod metrics;
 pub mod net;
 pub mod peer;
 pub mod platform;
--- a/src/process.rs
+++ b/src/process.rs
@@ -67,7 +67,11 @@
     Ok(()) => ExitCode::SUCCESS,
     Err(fault) => {
       eprintln!("{name}: {fault}");
-      ExitCode::from(if fault.code.number() < 200 { 2 } else { 1 })
+      ExitCode::from(match fault.code {
+        Code::WaitTimedOut => 3,
+        code if code.number() < 200 => 2,
+        _ => 1,
+      })
     }
   }
 }
--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -28,14 +28,17 @@
 pub struct Upstream {
   journal: Mutex<BTreeMap<String, u64>>,
   name: String,
+  /// How many times as long as asked it works.
+  slowness: u32,
 }
 
 impl Upstream {
   /// Serves until the task is dropped.
-  pub async fn run(address: SocketAddr, name: String) -> Result<(), Fault> {
+  pub async fn run(address: SocketAddr, name: String, slowness: u32) -> Result<(), Fault> {
     let upstream = Arc::new(Self {
       journal: Mutex::default(),
       name,
+      slowness,
     });
     web::serve(address, move |request: Request<Incoming>| {
       let upstream = Arc::clone(&upstream);
@@ -52,7 +55,7 @@
         .and_then(|value| value.parse::<u64>().ok())
         .unwrap_or(otherwise)
     };
-    let work = Duration::from_millis(number("work_ms", 0));
+    let work = Duration::from_millis(number("work_ms", 0)) * self.slowness;
     if request.method() == Method::GET {
       tokio::time::sleep(work).await;
       return match path.as_str() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,6 +20,17 @@
       .cloned()
   }
 
+  /// The whole state.
+  pub fn all(&self) -> Value {
+    Value::Object(
+      self
+        .0
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone(),
+    )
+  }
+
   /// Replaces the state of a part.
   pub fn post(&self, part: &str, state: Value) {
     self
@@ -31,7 +42,6 @@
 
   /// The whole state as JSON.
   pub fn text(&self) -> String {
-    let parts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-    Value::Object(parts.clone()).to_string()
+    self.all().to_string()
   }
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod support;
 
 mod broken_flows;
+mod command;
 mod requests;
 mod services;
 mod whole_path;
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -74,13 +74,17 @@
   fabric: Option<Child>,
   generation: u64,
   keyring: config::Keyring,
+  metrics: Option<SocketAddr>,
   net: Net,
   platform: Option<Child>,
   relayed: bool,
   services: BTreeMap<u16, Vec<u32>>,
+  slots: u32,
+  slow: Option<(u32, u32)>,
   upstreams: BTreeMap<(u16, u32), Child>,
   wanted_balancers: u8,
   without_agents: bool,
+  without_routes: bool,
   workers: usize,
 }
 
@@ -109,13 +113,17 @@
           value: "000102030405060708090a0b0c0d0e0f".into(),
         }],
       },
+      metrics: None,
       net,
       platform: None,
       relayed: false,
       services: BTreeMap::new(),
+      slots: 5,
+      slow: None,
       upstreams: BTreeMap::new(),
       wanted_balancers: 2,
       without_agents: false,
+      without_routes: false,
       workers: 1,
     }
   }
@@ -150,6 +158,30 @@
     self
   }
 
+  /// Where the processes send their metrics.
+  pub fn metrics(mut self, server: SocketAddr) -> Self {
+    self.metrics = Some(server);
+    self
+  }
+
+  /// States nothing of the requests, so that none is handed from target to target.
+  pub fn without_routes(mut self) -> Self {
+    self.without_routes = true;
+    self
+  }
+
+  /// How many requests each target runs at once.
+  pub fn slots(mut self, slots: u32) -> Self {
+    self.slots = slots;
+    self
+  }
+
+  /// Makes a target's upstream work so many times as long.
+  pub fn slow(mut self, target: u32, times: u32) -> Self {
+    self.slow = Some((target, times));
+    self
+  }
+
   /// Starts no agents: something else stands at their addresses.
   pub fn without_agents(mut self) -> Self {
     self.without_agents = true;
@@ -253,6 +285,7 @@
       data_centre: "ernakulam".into(),
       instance: id::Instance(number.into()),
       linger_ms: 1000,
+      metrics: self.metrics,
       peers,
       platform: self.platform_front(number),
       tunnel: self.listed_balancer(number, 7200),
@@ -273,7 +306,20 @@
   fn spawn_upstream(&mut self, service: u16, target: u32) {
     let upstream = self.upstream_address(service, target).to_string();
     let name = format!("{service}-{target}");
-    let child = self.standin(&["upstream", "--listen", &upstream, "--name", &name]);
+    let slowness = match self.slow {
+      Some((slow, times)) if slow == target => times.to_string(),
+      _ => "1".to_owned(),
+    };
+    let arguments = [
+      "upstream",
+      "--listen",
+      &upstream,
+      "--name",
+      &name,
+      "--slowness",
+      &slowness,
+    ];
+    let child = self.standin(&arguments);
     self.upstreams.insert((service, target), child);
   }
 
@@ -414,7 +460,7 @@
         connections: self.connections,
         id: id::Target(*target),
         leaving: false,
-        slots: 5,
+        slots: self.slots,
       })
       .collect();
     config::Service {
@@ -425,7 +471,11 @@
       name: format!("service-{service}"),
       ramp_s: 0,
       repeat_window_s: 600,
-      routes: routes(self.deadline_ms),
+      routes: if self.without_routes {
+        Vec::new()
+      } else {
+        routes(self.deadline_ms)
+      },
       targets,
     }
   }
@@ -654,6 +704,11 @@
     &mut self.keyring
   }
 
+  /// The file with the certificate that callers trust.
+  pub fn certificate_file(&self) -> PathBuf {
+    self.directory.join("certificate.pem")
+  }
+
   /// Makes a new certificate and key in the files that agents read, and trusts it from now on.
   pub fn renew_certificate(&mut self) {
     self.certificate = certificate(&self.directory);
