Do not try again what was shed here and at two peers

Ruled out: a larger or smaller budget (it is the retry that is in vain). Change: only unreachable and silent upstreams and their 502 to 504 are retried.

--- a/src/agent/runner.rs
+++ b/src/agent/runner.rs
@@ -155,14 +155,15 @@
   peers
 }
 
-/// Whether the upstream has failed in a way that another may not.
+/// Whether the upstream has failed in a way that another may not. What was shed has been offered to
+/// peers already.
 fn has_failed(reply: &Reply) -> bool {
   match reply {
     Reply::Held(_) => false,
     Reply::Live(live) => matches!(live.head().0.as_u16(), 502..=504),
     Reply::Problem(problem) => matches!(
       problem.code,
-      Code::RequestOutcomeUnknown | Code::RequestSlotsFull | Code::RequestUpstreamUnreachable
+      Code::RequestOutcomeUnknown | Code::RequestUpstreamUnreachable
     ),
   }
 }
