Read a request to its end, also where no body is expected

The agent dropped its reading side of a GET at once; where the end of the request came in a packet of its own, the caller was told to stop and its own finish failed. Ruled out: a panic (none in the logs), GOAWAY (rejects with another code), the stand-in upstream (its cut is 0x102), a flow ended (the connection lived). Change: every request is read to its end; one that is too large is stopped with H3_NO_ERROR. Before: a caller that finishes after the answer's head fails each time (the new test). Conclusion: a GET could fail under load for no reason of the caller's.

--- a/src/agent/proxy.rs
+++ b/src/agent/proxy.rs
@@ -33,15 +33,15 @@
     return refuse(&shared, &mut download, problem).await;
   }
   let (gone, given_up) = oneshot::channel();
-  let pieces = Call::has_body(&request).then(|| {
-    let (feeder, pieces) = Feeder::new();
-    let most = shared.settings.request_max;
-    tokio::spawn(async move {
-      if !feed(upload, feeder, most).await {
-        let _ = gone.send(());
-      }
-    });
-    pieces
+  let (feeder, pieces) = Feeder::new();
+  let pieces = Call::has_body(&request).then_some(pieces);
+  let most = shared.settings.request_max;
+  tokio::spawn(async move {
+    // Read to its end also where no body is expected: a side that is closed early makes the
+    // caller's own end of the request fail.
+    if !feed(upload, feeder, most).await {
+      let _ = gone.send(());
+    }
   });
   let route = shared.route(request.method().as_str(), request.uri().path());
   let exchange = async {
@@ -87,21 +87,22 @@
   }
 }
 
-/// Hands the caller's body on; false when the caller gave up before its end.
+/// Hands the caller's body on, while somebody reads it; false when the caller gave up before its
+/// end.
 async fn feed(mut upload: Upload, mut feeder: Feeder, most: u64) -> bool {
   let mut total = 0;
+  let mut wanted = true;
   loop {
     match upload.recv_data().await {
       Ok(Some(mut piece)) => {
         total += piece.remaining() as u64;
         if total > most {
           feeder.cut().await;
+          upload.stop_sending(Reason::H3_NO_ERROR);
           return true;
         }
         let piece = piece.copy_to_bytes(piece.remaining());
-        if !feeder.add(piece).await {
-          return true;
-        }
+        wanted = wanted && feeder.add(piece).await;
       }
       Ok(None) => return true,
       Err(_) => {
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -49,6 +49,11 @@
   pub status: StatusCode,
 }
 
+/// A request that is not whole yet.
+pub struct Begun {
+  stream: RequestStream<BidiStream<Bytes>, Bytes>,
+}
+
 /// An answer that goes on.
 pub struct Feed {
   stream: RequestStream<BidiStream<Bytes>, Bytes>,
@@ -113,6 +118,12 @@
     self.endpoint.rebind(socket).map_err(failed)
   }
 
+  /// Begins a request without a body, whose end the caller says later.
+  pub async fn begin(&self, method: Method, path: &str) -> Result<Begun, Fault> {
+    let stream = self.open_request(method, path, &[], 0).await?;
+    Ok(Begun { stream })
+  }
+
   /// Sends a request and waits for the whole answer.
   pub async fn request(
     &self,
@@ -145,24 +156,47 @@
     path: &str,
     headers: &[(&str, &str)],
     body: Bytes,
+  ) -> Result<RequestStream<BidiStream<Bytes>, Bytes>, Fault> {
+    let mut stream = self.open_request(method, path, headers, body.len()).await?;
+    if !body.is_empty() {
+      stream.send_data(body).await.map_err(failed)?;
+    }
+    stream.finish().await.map_err(failed)?;
+    Ok(stream)
+  }
+
+  async fn open_request(
+    &self,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    length: usize,
   ) -> Result<RequestStream<BidiStream<Bytes>, Bytes>, Fault> {
     let mut request = Request::builder()
       .method(method)
       .uri(format!("https://{}{path}", self.name));
-    if !body.is_empty() {
-      request = request.header("content-length", body.len());
+    if length > 0 {
+      request = request.header("content-length", length);
     }
     for (name, value) in headers {
       request = request.header(*name, *value);
     }
     let request = request.body(()).map_err(failed)?;
     let mut requests = self.requests.clone();
-    let mut stream = requests.send_request(request).await.map_err(failed)?;
-    if !body.is_empty() {
-      stream.send_data(body).await.map_err(failed)?;
-    }
-    stream.finish().await.map_err(failed)?;
-    Ok(stream)
+    requests.send_request(request).await.map_err(failed)
+  }
+}
+
+impl Begun {
+  /// Waits for the answer's status.
+  pub async fn status(&mut self) -> Result<StatusCode, Fault> {
+    let head = self.stream.recv_response().await.map_err(failed)?;
+    Ok(head.status())
+  }
+
+  /// Says that the request is whole.
+  pub async fn finish(&mut self) -> Result<(), Fault> {
+    self.stream.finish().await.map_err(failed)
   }
 }
 
--- a/tests/integration/requests.rs
+++ b/tests/integration/requests.rs
@@ -312,3 +312,14 @@
   assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
   assert_eq!(answer.headers["fallwell-code"], "301");
 }
+
+/// An agent that closed its side of a request early had the caller's end of it fail: found when a
+/// loaded machine sent the end of a GET in a packet of its own.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_end_comes_after_its_answer_is_whole() {
+  let fleet = Fleet::new().balancers(1).service(1, 1).start().await;
+  let caller = fleet.caller(1).await;
+  let mut request = caller.begin(Method::GET, "/bytes?n=10").await.unwrap();
+  assert_eq!(request.status().await.unwrap(), StatusCode::OK);
+  request.finish().await.unwrap();
+}
