Prove at most once with two halves and two configurations

Cause: no proof cut the agents from each other while the configuration changed on one side; hand-offs could not be cut, since they left from any number. Ruled out: a cut by port (one port is everybody's). Change: hand-offs leave from the number that the process binds, by one function with the peers' calls; the proof itself. Names without metaphors: Controller, Observations, Registry, Writer, Outgoing, InForce. Before: not proved.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -1,11 +1,11 @@
 //! The process beside an upstream: it owns that upstream's flows and requests.
 
 mod call;
-mod gauge;
 mod generator;
 mod guard;
 mod handoff;
 mod home;
+mod load;
 mod pipe;
 mod problem;
 mod proxy;
--- a/src/agent/call.rs
+++ b/src/agent/call.rs
@@ -151,9 +151,9 @@
 
 /// Where the pieces of a body are put in.
 #[derive(Debug)]
-pub struct Feeder(mpsc::Sender<Result<Frame<Bytes>, io::Error>>);
+pub struct Writer(mpsc::Sender<Result<Frame<Bytes>, io::Error>>);
 
-impl Feeder {
+impl Writer {
   /// A body and where its pieces are put in.
   pub fn new() -> (Self, Pieces) {
     let (sender, pieces) = mpsc::channel(PIECES);
--- a/src/agent/handoff.rs
+++ b/src/agent/handoff.rs
@@ -105,7 +105,7 @@
   let tag = format!("{}-{tag:016x}", tagger.current());
   let tag = HeaderValue::from_str(&tag).map_err(|_| Failure::Unreachable)?;
   call.head.headers.insert("fallwell-tag", tag);
-  upstream::send(peer.address, call).await
+  upstream::send(peer.address, shared.settings.bind, call).await
 }
 
 /// The result code that a peer answered with, if its answer is its own and not its upstream's.
--- a/src/agent/proxy.rs
+++ b/src/agent/proxy.rs
@@ -1,7 +1,7 @@
 use {
   super::{
     Shared,
-    call::{Call, Feeder},
+    call::{Call, Writer},
     guard::Guard,
     home,
     problem::Problem,
@@ -33,13 +33,13 @@
     return refuse(&shared, &mut download, problem).await;
   }
   let (gone, given_up) = oneshot::channel();
-  let (feeder, pieces) = Feeder::new();
+  let (writer, pieces) = Writer::new();
   let pieces = Call::has_body(&request).then_some(pieces);
   let most = shared.settings.request_max;
   tokio::spawn(async move {
     // Read to its end also where no body is expected: a side that is closed early makes the
     // caller's own end of the request fail.
-    if !feed(upload, feeder, most).await {
+    if !feed(upload, writer, most).await {
       let _ = gone.send(());
     }
   });
@@ -89,7 +89,7 @@
 
 /// Hands the caller's body on, while somebody reads it; false when the caller gave up before its
 /// end.
-async fn feed(mut upload: Upload, mut feeder: Feeder, most: u64) -> bool {
+async fn feed(mut upload: Upload, mut writer: Writer, most: u64) -> bool {
   let mut total = 0;
   let mut wanted = true;
   loop {
@@ -97,16 +97,16 @@
       Ok(Some(mut piece)) => {
         total += piece.remaining() as u64;
         if total > most {
-          feeder.cut().await;
+          writer.cut().await;
           upload.stop_sending(Reason::H3_NO_ERROR);
           return true;
         }
         let piece = piece.copy_to_bytes(piece.remaining());
-        wanted = wanted && feeder.add(piece).await;
+        wanted = wanted && writer.add(piece).await;
       }
       Ok(None) => return true,
       Err(_) => {
-        feeder.cut().await;
+        writer.cut().await;
         return false;
       }
     }
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -9,7 +9,7 @@
     peer::{self, Machine, Node, Role},
     process::{Process, Signal},
     settings::{self, bound},
-    state::Board,
+    state::Registry,
     supervisor::Tree,
   },
   crossbeam::channel,
@@ -52,11 +52,11 @@
   counter: &Arc<Counter>,
   tree: &mut Tree,
 ) -> Result<Arc<Shared>, Fault> {
-  let board = Board::default();
+  let registry = Registry::default();
   if let Some(server) = settings.metrics {
-    let (counter, board) = (Arc::clone(counter), board.clone());
+    let (counter, registry) = (Arc::clone(counter), registry.clone());
     tree.start("metrics", move |stop| {
-      metrics::run(server, &counter, || board.all(), stop)
+      metrics::run(server, &counter, || registry.all(), stop)
     })?;
   }
   let (views_in, views) = channel::unbounded();
@@ -68,7 +68,7 @@
     settings.bind,
     machine(settings),
     Arc::clone(counter),
-    board.clone(),
+    registry.clone(),
     views_in,
   );
   let serving = Arc::clone(&shared);
@@ -78,7 +78,7 @@
     Tunnel::new(
       Arc::clone(&tunnelling),
       Arc::clone(&tunnel_node),
-      board.clone(),
+      registry.clone(),
     )?
     .run(&views, stop)
   })?;
--- a/src/agent/runner.rs
+++ b/src/agent/runner.rs
@@ -95,7 +95,7 @@
   }
   let weight = call.route.weight;
   shared.count_work(weight);
-  match upstream::send(shared.settings.upstream, call).await {
+  match upstream::send(shared.settings.upstream, None, call).await {
     Ok(answer) => Reply::Live(Live::new(answer, slot)),
     Err(Failure::Dead | Failure::Unreachable) => {
       shared.uncount_work(weight);
--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -1,5 +1,5 @@
 use {
-  super::{gauge, home, slots::Slots},
+  super::{home, load, slots::Slots},
   crate::{
     Revision,
     admission::Budget,
@@ -259,7 +259,7 @@
       .and_then(|service| service.target(self.settings.target));
     let limit = target.map_or(1, |target| target.connections);
     let ramp = service.as_ref().map_or(0, |service| service.ramp_s);
-    gauge::load(
+    load::level(
       self.flows.load(Ordering::Relaxed),
       limit,
       self.started,
--- a/src/agent/tunnel.rs
+++ b/src/agent/tunnel.rs
@@ -8,7 +8,7 @@
     net::{Batch, Outbox},
     peer::{Node, View},
     routing::{Standing, Table},
-    state::Board,
+    state::Registry,
     supervisor::Stop,
     wire::{Carry, Echo, Flow, Found, Frame, HEADER_MAX, Probe, Refusal, Tagger},
   },
@@ -37,7 +37,7 @@
 /// Takes frames from the tunnel in a thread of its own and decides over each.
 pub struct Tunnel {
   batch: Batch,
-  board: Board,
+  registry: Registry,
   machine: Machine,
   node: Arc<Node>,
   nonce: u32,
@@ -51,7 +51,7 @@
 
 impl Tunnel {
   /// The tunnel of an agent.
-  pub fn new(shared: Arc<Shared>, node: Arc<Node>, board: Board) -> Result<Self, Fault> {
+  pub fn new(shared: Arc<Shared>, node: Arc<Node>, registry: Registry) -> Result<Self, Fault> {
     let failed = |error| Fault::new(Code::ChildFailed, error);
     let poll = Poll::new().map_err(failed)?;
     shared
@@ -68,7 +68,7 @@
     let view = node.view();
     let mut tunnel = Self {
       batch: Batch::default(),
-      board,
+      registry,
       machine,
       node,
       nonce: 0,
@@ -426,7 +426,7 @@
     let (running, waiting) = self.shared.slots.size();
     let serving = self.table.is_some() && self.shared.serving.load(Ordering::Relaxed);
     let (keys, key_bytes) = self.shared.ledger().size();
-    self.board.post(
+    self.registry.set(
       "path",
       json!({
         "balancers": balancers,
@@ -447,7 +447,7 @@
       }),
     );
     self
-      .board
-      .post("counters", json!(self.shared.counter.snapshot()));
+      .registry
+      .set("counters", json!(self.shared.counter.snapshot()));
   }
 }
--- a/src/agent/upstream.rs
+++ b/src/agent/upstream.rs
@@ -3,7 +3,7 @@
     call::{Body, Call, Pieces},
     problem::Problem,
   },
-  crate::Code,
+  crate::{Code, net},
   bytes::Bytes,
   futures::{Stream, StreamExt, stream},
   http::{HeaderMap, Request, Response, header},
@@ -15,12 +15,12 @@
   hyper_util::rt::TokioIo,
   std::{
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     pin::Pin,
     task::{Context, Poll},
     time::{Duration, Instant},
   },
-  tokio::{net::TcpStream, task::AbortHandle, time::timeout},
+  tokio::{task::AbortHandle, time::timeout},
 };
 
 /// How long a connection may take to be made.
@@ -85,9 +85,9 @@
 
 /// Sends a call, once, over a connection of its own. Only a connection that was never made proves
 /// that it has not run.
-pub async fn send(to: SocketAddr, call: Call) -> Result<Answer, Failure> {
+pub async fn send(to: SocketAddr, bind: Option<IpAddr>, call: Call) -> Result<Answer, Failure> {
   let start_by = call.start_by;
-  let stream = match timeout(CONNECT_MAX, TcpStream::connect(to)).await {
+  let stream = match timeout(CONNECT_MAX, net::connect(to, bind)).await {
     Ok(Ok(stream)) => stream,
     Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
       return Err(Failure::Dead);
@@ -98,7 +98,6 @@
   let Some(left) = start_by.checked_duration_since(Instant::now()) else {
     return Err(Failure::Unreachable);
   };
-  let _ = stream.set_nodelay(true);
   let handshake = http1::handshake(TokioIo::new(stream)).await;
   let (mut sender, connection) = handshake.map_err(|_| Failure::Unreachable)?;
   let connection = Connection(tokio::spawn(connection).abort_handle());
--- a/src/api.rs
+++ b/src/api.rs
@@ -45,7 +45,7 @@
     "/v1/health" => reply(StatusCode::OK, &json!({ "healthy": true })),
     "/v1/ready" => ready(node),
     "/v1/services" => reply(StatusCode::OK, &services(node)),
-    "/v1/state" => web::answer(StatusCode::OK, node.board().text()),
+    "/v1/state" => web::answer(StatusCode::OK, node.registry().text()),
     "/v1/watch" => watch(node, request.uri().query()).await,
     _ => match path.strip_prefix("/v1/services/") {
       Some(id) => service(node, id),
@@ -66,7 +66,7 @@
 
 /// The version of the configuration that the packet path has taken.
 fn in_force_version(node: &Node) -> Option<u64> {
-  node.board().get("path")?.get("version")?.as_u64()
+  node.registry().get("path")?.get("version")?.as_u64()
 }
 
 fn services(node: &Node) -> Value {
--- a/src/balancer/director.rs
+++ b/src/balancer/controller.rs
@@ -8,9 +8,9 @@
     id,
     membership::{self, Action, Event, Member},
     net::{Batch, Socket},
-    peer::{Seen, View},
+    peer::{InForce, View},
     routing::Table,
-    state::Board,
+    state::Registry,
     supervisor::Stop,
     wire::{Frame, HEADER_MAX, Probe, Tagger},
   },
@@ -37,9 +37,9 @@
 const OPENING: Duration = Duration::from_mins(1);
 
 /// Builds what the workers route by, from the configuration and from what they report.
-pub struct Director {
+pub struct Controller {
   batch: Batch,
-  board: Board,
+  registry: Registry,
   counter: Arc<Counter>,
   machine: membership::Machine,
   /// When each set of targets came into force here.
@@ -54,18 +54,18 @@
   workers: Vec<Sender<Arc<Snapshot>>>,
 }
 
-impl Director {
-  /// A director of workers, with a socket of its own for probes.
+impl Controller {
+  /// A controller of workers, with a socket of its own for probes.
   pub fn new(
     tunnel: SocketAddr,
     view: Arc<View>,
     counter: Arc<Counter>,
-    board: Board,
+    registry: Registry,
     workers: Vec<Sender<Arc<Snapshot>>>,
   ) -> Result<Self, Fault> {
-    let mut director = Self {
+    let mut controller = Self {
       batch: Batch::default(),
-      board,
+      registry,
       counter,
       machine: membership::Machine::new(membership::Settings::default()),
       since: HashMap::new(),
@@ -78,8 +78,8 @@
       view: Arc::default(),
       workers,
     };
-    director.take_view(view)?;
-    Ok(director)
+    controller.take_view(view)?;
+    Ok(controller)
   }
 
   /// Runs until it is told to stop.
@@ -141,7 +141,7 @@
       .map(|instance| instance.tunnel)
       .collect::<Vec<_>>();
     let mut listed = Vec::new();
-    for Seen {
+    for InForce {
       history, service, ..
     } in &self.view.services
     {
@@ -295,7 +295,7 @@
   }
 
   /// How many sets, the current one counted, are recent enough for opening packets.
-  fn recent(&self, now: Instant, seen: &Seen) -> usize {
+  fn recent(&self, now: Instant, seen: &InForce) -> usize {
     let mut successor = seen.revision;
     let mut recent = 1;
     for set in &seen.history {
@@ -324,7 +324,7 @@
       .map(|((service, target), standing)| {
         json!({ "service": service, "standing": standing, "target": target })
       });
-    self.board.post(
+    self.registry.set(
       "path",
       json!({
         "avoided": avoided.collect::<Vec<_>>(),
@@ -334,7 +334,9 @@
         "version": self.version(),
       }),
     );
-    self.board.post("counters", json!(self.counter.snapshot()));
+    self
+      .registry
+      .set("counters", json!(self.counter.snapshot()));
     debug_assert_eq!(self.counter.of(Code::InvariantBroken), 0);
   }
 }
--- a/src/balancer/place.rs
+++ b/src/balancer/observations.rs
@@ -6,7 +6,7 @@
 /// What a worker saw of the targets: their loads, and who was heard of and sent to since the last
 /// report.
 #[derive(Debug, Default)]
-pub struct Place {
+pub struct Observations {
   seen: HashMap<Member, Seen>,
 }
 
@@ -17,7 +17,7 @@
   sent: bool,
 }
 
-impl Place {
+impl Observations {
   /// A frame came from a target, which says how busy it is.
   pub fn heard(&mut self, member: Member, load: u8) {
     let seen = self.seen.entry(member).or_default();
@@ -51,7 +51,7 @@
   }
 }
 
-impl Loads for Place {
+impl Loads for Observations {
   fn load(&self, service: id::Service, target: id::Target) -> u8 {
     self
       .seen
--- a/src/balancer/run.rs
+++ b/src/balancer/run.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Director, Settings, Worker},
+  super::{Controller, Settings, Worker},
   crate::{
     code::Fault,
     control,
@@ -8,7 +8,7 @@
     peer::{self, Machine, Node, Role},
     process::{Process, Signal},
     settings::{self, bound},
-    state::Board,
+    state::Registry,
     supervisor::Tree,
   },
   crossbeam::channel,
@@ -46,11 +46,11 @@
   counter: &Arc<Counter>,
   tree: &mut Tree,
 ) -> Result<Arc<AtomicBool>, Fault> {
-  let board = Board::default();
+  let registry = Registry::default();
   if let Some(server) = settings.metrics {
-    let (counter, board) = (Arc::clone(counter), board.clone());
+    let (counter, registry) = (Arc::clone(counter), registry.clone());
     tree.start("metrics", move |stop| {
-      metrics::run(server, &counter, || board.all(), stop)
+      metrics::run(server, &counter, || registry.all(), stop)
     })?;
   }
   let leaving = Arc::new(AtomicBool::new(false));
@@ -60,7 +60,7 @@
     settings.bind,
     machine(settings),
     Arc::clone(counter),
-    board.clone(),
+    registry.clone(),
     views_in,
   );
   let (reports_in, reports) = channel::bounded(REPORTS);
@@ -86,14 +86,14 @@
     })?;
   }
   let tunnel = bound(settings.tunnel, settings.bind);
-  let director_counter = Arc::clone(counter);
-  let director_node = Arc::clone(&node);
-  tree.start("director", move |stop| {
-    Director::new(
+  let controller_counter = Arc::clone(counter);
+  let controller_node = Arc::clone(&node);
+  tree.start("controller", move |stop| {
+    Controller::new(
       tunnel,
-      director_node.view(),
-      Arc::clone(&director_counter),
-      board.clone(),
+      controller_node.view(),
+      Arc::clone(&controller_counter),
+      registry.clone(),
       snapshots.clone(),
     )?
     .run(&views, &reports, stop)
--- a/src/balancer/worker.rs
+++ b/src/balancer/worker.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Place, Report, Snapshot},
+  super::{Observations, Report, Snapshot},
   crate::{
     Code,
     code::Fault,
@@ -59,7 +59,7 @@
   counter: Arc<Counter>,
   entries: HashMap<usize, Entry>,
   next_token: usize,
-  place: Place,
+  observations: Observations,
   poll: Poll,
   report: Report,
   reports: Sender<Report>,
@@ -87,7 +87,7 @@
       counter,
       entries: HashMap::new(),
       next_token: 1,
-      place: Place::default(),
+      observations: Observations::default(),
       poll,
       report: Report::default(),
       reports,
@@ -203,7 +203,7 @@
       target: hop.target,
       whole,
     };
-    match routing::Machine::step(table, flow, &self.place)? {
+    match routing::Machine::step(table, flow, &self.observations)? {
       Route::Chain {
         chain,
         copies,
@@ -211,7 +211,7 @@
         search,
       } => {
         for target in &chain {
-          self.place.sent((table.service(), *target));
+          self.observations.sent((table.service(), *target));
         }
         for copy in copies {
           self.post(
@@ -238,7 +238,7 @@
     packet: &'a [u8],
     outbox: &mut Outbox<'a>,
   ) -> Result<(), Code> {
-    self.place.sent((carry.service, carry.target));
+    self.observations.sent((carry.service, carry.target));
     let mut header = [0; HEADER_MAX];
     let length = Frame::Carry(carry).encode(packet.len(), tagger, &mut header)?;
     outbox.push(hop.address, header, length, packet);
@@ -259,7 +259,7 @@
         }
         Ok((Frame::Echo(echo), _)) => {
           if let Some(target) = echo.target {
-            self.place.heard((echo.service, target), echo.load);
+            self.observations.heard((echo.service, target), echo.load);
           }
         }
         Ok((Frame::Probe(probe), _)) => self.echo(&snapshot, tagger, from, &probe),
@@ -292,7 +292,9 @@
     answers: &mut HashMap<id::Service, Outbox<'a>>,
   ) {
     self.report.packets_out += 1;
-    self.place.heard((frame.service, frame.target), frame.load);
+    self
+      .observations
+      .heard((frame.service, frame.target), frame.load);
     let outbox = answers.entry(frame.service).or_default();
     outbox.push(frame.caller, [0; HEADER_MAX], 0, packet);
   }
@@ -344,7 +346,7 @@
         self.open(*service, bound(*address, self.settings.bind));
       }
     }
-    self.place.retain(|(service, target)| {
+    self.observations.retain(|(service, target)| {
       let table = snapshot.services.get(&service).map(|(_, table)| table);
       table.is_some_and(|table| table.get(target).is_some())
     });
@@ -379,7 +381,7 @@
   }
 
   fn send_report(&mut self) {
-    let (heard, sent) = self.place.take();
+    let (heard, sent) = self.observations.take();
     let report = Report {
       heard,
       sent,
--- /dev/null
+++ b/src/net/connect.rs
@@ -0,0 +1,21 @@
+use {
+  std::{
+    io,
+    net::{IpAddr, SocketAddr},
+  },
+  tokio::net::{TcpSocket, TcpStream},
+};
+
+/// Connects to a peer from the IP number that this process binds, or from where the kernel likes.
+pub async fn connect(to: SocketAddr, bind: Option<IpAddr>) -> io::Result<TcpStream> {
+  let socket = match to {
+    SocketAddr::V4(_) => TcpSocket::new_v4()?,
+    SocketAddr::V6(_) => TcpSocket::new_v6()?,
+  };
+  if let Some(bind) = bind {
+    socket.bind(SocketAddr::new(bind, 0))?;
+  }
+  let stream = socket.connect(to).await?;
+  stream.set_nodelay(true)?;
+  Ok(stream)
+}
--- a/src/net/outbox.rs
+++ b/src/net/outbox.rs
@@ -15,11 +15,11 @@
 /// copied.
 #[derive(Debug, Default)]
 pub struct Outbox<'a> {
-  letters: Vec<Letter<'a>>,
+  datagrams: Vec<Datagram<'a>>,
 }
 
 #[derive(Debug)]
-struct Letter<'a> {
+struct Datagram<'a> {
   header: [u8; HEADER_MAX],
   header_len: usize,
   packet: &'a [u8],
@@ -35,7 +35,7 @@
     header_len: usize,
     packet: &'a [u8],
   ) {
-    self.letters.push(Letter {
+    self.datagrams.push(Datagram {
       header,
       header_len,
       packet,
@@ -45,28 +45,28 @@
 
   /// How many datagrams wait.
   pub fn len(&self) -> usize {
-    self.letters.len()
+    self.datagrams.len()
   }
 
   /// Whether none waits.
   pub fn is_empty(&self) -> bool {
-    self.letters.is_empty()
+    self.datagrams.is_empty()
   }
 
   /// Sends all and returns how many the kernel did not take: datagrams are never waited for.
   pub fn flush(&mut self, socket: &Socket) -> usize {
     let mut lost = 0;
-    for letters in self.letters.chunks(BATCH) {
-      lost += send(socket, letters);
+    for datagrams in self.datagrams.chunks(BATCH) {
+      lost += send(socket, datagrams);
     }
-    self.letters.clear();
+    self.datagrams.clear();
     lost
   }
 }
 
-fn send(socket: &Socket, letters: &[Letter]) -> usize {
+fn send(socket: &Socket, datagrams: &[Datagram]) -> usize {
   let mut lost = 0;
-  let mut rest = letters;
+  let mut rest = datagrams;
   while !rest.is_empty() {
     match send_some(socket, rest) {
       Ok(sent) => rest = &rest[sent.max(1)..],
@@ -82,22 +82,22 @@
   lost
 }
 
-fn send_some(socket: &Socket, letters: &[Letter]) -> Result<usize, Errno> {
-  let slices = letters
+fn send_some(socket: &Socket, datagrams: &[Datagram]) -> Result<usize, Errno> {
+  let slices = datagrams
     .iter()
-    .map(|letter| {
+    .map(|datagram| {
       [
-        IoSlice::new(&letter.header[..letter.header_len]),
-        IoSlice::new(letter.packet),
+        IoSlice::new(&datagram.header[..datagram.header_len]),
+        IoSlice::new(datagram.packet),
       ]
     })
     .collect::<Vec<_>>();
-  let addresses = letters
+  let addresses = datagrams
     .iter()
-    .map(|letter| Some(letter.to))
+    .map(|datagram| Some(datagram.to))
     .collect::<Vec<_>>();
   let none: [ControlMessage; 0] = [];
-  let mut headers = MultiHeaders::preallocate(letters.len(), None);
+  let mut headers = MultiHeaders::preallocate(datagrams.len(), None);
   let sent = sendmmsg(
     socket.descriptor(),
     &mut headers,
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -1,9 +1,11 @@
 use {
   super::{Message, PeerClient, server::MESSAGE_MAX},
-  crate::code::{Code, Fault},
+  crate::{
+    code::{Code, Fault},
+    net,
+  },
   std::{
     collections::HashMap,
-    io,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
@@ -12,10 +14,7 @@
     client::Config, context, tokio_serde::formats::Bincode,
     tokio_util::codec::length_delimited::LengthDelimitedCodec,
   },
-  tokio::{
-    net::{TcpSocket, TcpStream},
-    time::timeout,
-  },
+  tokio::time::timeout,
 };
 
 /// How long a call may take.
@@ -68,7 +67,7 @@
     if let Some(client) = self.lock().get(&to) {
       return Ok(client.clone());
     }
-    let stream = timeout(CALL_MAX, self.open(to))
+    let stream = timeout(CALL_MAX, net::connect(to, self.bind))
       .await
       .map_err(|error| unreachable(to, error))?
       .map_err(|error| unreachable(to, error))?;
@@ -87,19 +86,6 @@
     Ok(client)
   }
 
-  async fn open(&self, to: SocketAddr) -> io::Result<TcpStream> {
-    let socket = match to {
-      SocketAddr::V4(_) => TcpSocket::new_v4()?,
-      SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    if let Some(bind) = self.bind {
-      socket.bind(SocketAddr::new(bind, 0))?;
-    }
-    let stream = socket.connect(to).await?;
-    stream.set_nodelay(true)?;
-    Ok(stream)
-  }
-
   fn forget(&self, to: SocketAddr) {
     self.lock().remove(&to);
   }
--- a/src/peer/machine.rs
+++ b/src/peer/machine.rs
@@ -30,7 +30,7 @@
 }
 
 /// A message and who it is for.
-pub type Letter = (SocketAddr, Message);
+pub type Outgoing = (SocketAddr, Message);
 
 /// Spreads configuration: news is pushed at once to a few peers, and a digest each second finds
 /// what a push did not reach. A carrier holds all, a follower its own part.
@@ -139,7 +139,7 @@
   }
 
   /// Takes an event and says what is to be sent.
-  pub fn step(&mut self, now: Instant, event: Event) -> Vec<Letter> {
+  pub fn step(&mut self, now: Instant, event: Event) -> Vec<Outgoing> {
     match event {
       Event::Failed(peer, message) => self.failed(now, peer, message),
       Event::Platform(records) => {
@@ -165,7 +165,7 @@
     self.role == Role::Carrier || self.part.contains(&key)
   }
 
-  fn received(&mut self, now: Instant, from: SocketAddr, message: Message) -> Vec<Letter> {
+  fn received(&mut self, now: Instant, from: SocketAddr, message: Message) -> Vec<Outgoing> {
     match message {
       Message::Buckets(digest) => self.compare(from, &digest),
       Message::Digest { confirmed_ms, root } => self.digest(now, from, confirmed_ms, root),
@@ -185,7 +185,7 @@
   }
 
   /// News that did not reach a peer goes to another instead.
-  fn failed(&mut self, now: Instant, peer: SocketAddr, message: Message) -> Vec<Letter> {
+  fn failed(&mut self, now: Instant, peer: SocketAddr, message: Message) -> Vec<Outgoing> {
     self.avoided.insert(peer, now);
     if !matches!(message, Message::Offer(_)) {
       return Vec::new();
@@ -194,7 +194,7 @@
     other.map(|peer| (peer, message)).into_iter().collect()
   }
 
-  fn tick(&mut self, now: Instant) -> Vec<Letter> {
+  fn tick(&mut self, now: Instant) -> Vec<Outgoing> {
     let Some(peer) = self.random_peers(now, 1).pop() else {
       return Vec::new();
     };
@@ -218,7 +218,7 @@
     from: SocketAddr,
     confirmed_ms: Option<u64>,
     root: u64,
-  ) -> Vec<Letter> {
+  ) -> Vec<Outgoing> {
     let heard = confirmed_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms)));
     self.confirmed = self.confirmed.max(heard);
     if root == self.store.digest().root() {
@@ -246,7 +246,7 @@
     )]
   }
 
-  fn compare(&mut self, from: SocketAddr, digest: &Digest) -> Vec<Letter> {
+  fn compare(&mut self, from: SocketAddr, digest: &Digest) -> Vec<Outgoing> {
     let differing = self.store.digest().differing(digest);
     if differing.is_empty() {
       return Vec::new();
@@ -256,7 +256,12 @@
     vec![(from, Message::Keys { buckets, keys })]
   }
 
-  fn keys(&mut self, from: SocketAddr, buckets: &[u8], theirs: &[(Key, Revision)]) -> Vec<Letter> {
+  fn keys(
+    &mut self,
+    from: SocketAddr,
+    buckets: &[u8],
+    theirs: &[(Key, Revision)],
+  ) -> Vec<Outgoing> {
     let buckets = buckets
       .iter()
       .map(|bucket| usize::from(*bucket))
@@ -274,31 +279,31 @@
         .collect::<Vec<_>>()
     };
     let mine = self.store.keys(&buckets);
-    let mut letters = self.offers(from, &newer(&mine, theirs));
+    let mut outgoing = self.offers(from, &newer(&mine, theirs));
     let wanted = newer(theirs, &mine);
     if !wanted.is_empty() {
-      letters.push((from, Message::Want(wanted)));
+      outgoing.push((from, Message::Want(wanted)));
     }
-    letters
+    outgoing
   }
 
   /// Offers documents, in messages of bounded size.
-  fn offers(&self, to: SocketAddr, keys: &[Key]) -> Vec<Letter> {
-    let mut letters = Vec::new();
+  fn offers(&self, to: SocketAddr, keys: &[Key]) -> Vec<Outgoing> {
+    let mut outgoing = Vec::new();
     let mut records = Vec::new();
     let mut bytes = 0;
     for record in keys.iter().flat_map(|key| self.store.records(*key)) {
       bytes += record.text.as_ref().map_or(0, String::len);
       records.push(record);
       if bytes >= self.settings.message_bytes {
-        letters.push((to, Message::Offer(std::mem::take(&mut records))));
+        outgoing.push((to, Message::Offer(std::mem::take(&mut records))));
         bytes = 0;
       }
     }
     if !records.is_empty() {
-      letters.push((to, Message::Offer(records)));
+      outgoing.push((to, Message::Offer(records)));
     }
-    letters
+    outgoing
   }
 
   fn offered(
@@ -306,7 +311,7 @@
     now: Instant,
     from: Option<SocketAddr>,
     records: Vec<Record>,
-  ) -> Vec<Letter> {
+  ) -> Vec<Outgoing> {
     let mut news = Vec::new();
     let mut older = Vec::new();
     for record in records {
@@ -317,24 +322,24 @@
         Verdict::Older => older.push(key),
       }
     }
-    let mut letters = Vec::new();
+    let mut outgoing = Vec::new();
     if let Some(from) = from {
-      letters.extend(self.offers(from, &older));
+      outgoing.extend(self.offers(from, &older));
     }
     if news.is_empty() {
-      return letters;
+      return outgoing;
     }
     self.version += 1;
     // Many at once are a process catching up: they are no news to the others.
     if news.len() > self.settings.news_max {
-      return letters;
+      return outgoing;
     }
     for peer in self.random_peers(now, self.settings.fan_out) {
       if Some(peer) != from {
-        letters.extend(self.offers(peer, &news));
+        outgoing.extend(self.offers(peer, &news));
       }
     }
-    letters
+    outgoing
   }
 
   fn follow(
@@ -343,7 +348,7 @@
     service: id::Service,
     target: id::Target,
     token: u64,
-  ) -> Vec<Letter> {
+  ) -> Vec<Outgoing> {
     if !self.joined {
       return Vec::new();
     }
@@ -365,7 +370,7 @@
     )]
   }
 
-  fn subset(&mut self, records: Vec<Record>, token: u64) -> Vec<Letter> {
+  fn subset(&mut self, records: Vec<Record>, token: u64) -> Vec<Outgoing> {
     self.joined = true;
     self.token = token;
     self.part = records.iter().map(|record| record.key).collect();
--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -1,6 +1,6 @@
 use {
   super::{Client, Event, Machine, Message, View},
-  crate::{Code, counter::Counter, settings::bound, state::Board},
+  crate::{Code, counter::Counter, settings::bound, state::Registry},
   crossbeam::channel::Sender,
   serde_json::json,
   std::{
@@ -19,7 +19,7 @@
 pub struct Node {
   address: SocketAddr,
   bind: Option<IpAddr>,
-  board: Board,
+  registry: Registry,
   client: Client,
   counter: Arc<Counter>,
   machine: Mutex<Machine>,
@@ -34,13 +34,13 @@
     bind: Option<IpAddr>,
     machine: Machine,
     counter: Arc<Counter>,
-    board: Board,
+    registry: Registry,
     views: Sender<Arc<View>>,
   ) -> Arc<Self> {
     Arc::new(Self {
       address,
       bind,
-      board,
+      registry,
       client: Client::new(bind),
       counter,
       machine: Mutex::new(machine),
@@ -62,8 +62,8 @@
   /// Takes a peer's message; what is for that peer is returned, what is for others is sent.
   pub fn answer(self: &Arc<Self>, from: SocketAddr, message: Message) -> Vec<Message> {
     self.received(&message);
-    let letters = self.step(Event::Received(from, message));
-    let (answers, others): (Vec<_>, Vec<_>) = letters.into_iter().partition(|(to, _)| *to == from);
+    let outgoing = self.step(Event::Received(from, message));
+    let (answers, others): (Vec<_>, Vec<_>) = outgoing.into_iter().partition(|(to, _)| *to == from);
     for (to, message) in others {
       self.send(to, message);
     }
@@ -72,8 +72,8 @@
   }
 
   /// The state dump.
-  pub fn board(&self) -> &Board {
-    &self.board
+  pub fn registry(&self) -> &Registry {
+    &self.registry
   }
 
   /// The counts.
@@ -166,13 +166,13 @@
   fn step(&self, event: Event) -> Vec<(SocketAddr, Message)> {
     let mut machine = self.machine();
     let before = machine.version();
-    let letters = machine.step(Instant::now(), event);
+    let outgoing = machine.step(Instant::now(), event);
     if machine.version() != before {
       let view = Arc::new(View::new(machine.store(), machine.version()));
       self.post(&machine, &view);
       let _ = self.views.send(view);
     }
-    letters
+    outgoing
   }
 
   fn post(&self, machine: &Machine, view: &View) {
@@ -187,7 +187,7 @@
         "targets": seen.service.targets.iter().map(|target| target.id).collect::<Vec<_>>(),
       })
     });
-    self.board.post(
+    self.registry.set(
       "config",
       json!({
         "instances": view.instances.len(),
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -55,7 +55,7 @@
 
 impl Peer for Server {
   async fn dump(self, _: Context) -> String {
-    self.0.board().text()
+    self.0.registry().text()
   }
 
   async fn exchange(self, _: Context, from: SocketAddr, message: Message) -> Vec<Message> {
--- a/src/peer/view.rs
+++ b/src/peer/view.rs
@@ -12,14 +12,14 @@
   /// The tag secrets.
   pub keyring: Option<Keyring>,
   /// The services.
-  pub services: Vec<Seen>,
+  pub services: Vec<InForce>,
   /// The count of changes that led here.
   pub version: u64,
 }
 
 /// A service in force.
 #[derive(Clone, Debug)]
-pub struct Seen {
+pub struct InForce {
   /// Its earlier target sets, newest first.
   pub history: Vec<Set>,
   /// The revision that brought it.
@@ -31,7 +31,7 @@
 impl View {
   /// The view of what a store holds.
   pub fn new(store: &Store, version: u64) -> Self {
-    let services = store.services().map(|(revision, service)| Seen {
+    let services = store.services().map(|(revision, service)| InForce {
       history: store.history(service.id).to_vec(),
       revision,
       service: service.clone(),
@@ -45,7 +45,7 @@
   }
 
   /// The service with this id.
-  pub fn service(&self, id: id::Service) -> Option<&Seen> {
+  pub fn service(&self, id: id::Service) -> Option<&InForce> {
     self.services.iter().find(|seen| seen.service.id == id)
   }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,12 +5,12 @@
   std::sync::{Arc, Mutex, PoisonError},
 };
 
-/// Where each part of a process posts its state, and from where it is dumped.
+/// The last state of each part of a process, to be dumped.
 #[derive(Clone, Debug, Default)]
-pub struct Board(Arc<Mutex<Map<String, Value>>>);
+pub struct Registry(Arc<Mutex<Map<String, Value>>>);
 
-impl Board {
-  /// The state that a part posted last.
+impl Registry {
+  /// The last state of a part.
   pub fn get(&self, part: &str) -> Option<Value> {
     self
       .0
@@ -32,7 +32,7 @@
   }
 
   /// Replaces the state of a part.
-  pub fn post(&self, part: &str, state: Value) {
+  pub fn set(&self, part: &str, state: Value) {
     self
       .0
       .lock()
--- a/tests/integration/requests.rs
+++ b/tests/integration/requests.rs
@@ -5,7 +5,7 @@
     fleet::{Fleet, get},
     wait::until,
   },
-  fallwell::{caller::Answer, code::Fault},
+  fallwell::{caller::Answer, code::Fault, standin::Plan},
   http::{Method, StatusCode},
   serde_json::Value,
   std::{collections::BTreeMap, time::Duration},
@@ -250,6 +250,65 @@
   assert_truthful(&told, &journal(&fleet, 4).await);
 }
 
+/// Sends each key once through the balancers that the fabric sprays to now.
+async fn confirm_all(
+  fleet: &Fleet,
+  keys: &[String],
+  attempt: u32,
+  told: &mut BTreeMap<String, Vec<Option<u16>>>,
+) {
+  let calls = keys.iter().map(|key| confirm_once(fleet, key, 50, attempt));
+  let answers = futures::future::join_all(calls).await;
+  for (key, answer) in keys.iter().zip(answers) {
+    let status = answer.ok().map(|answer| answer.status.as_u16());
+    told.entry(key.clone()).or_default().push(status);
+  }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn halves_apart_with_two_configurations_double_no_confirmation() {
+  let fleet = Fleet::new().balancers(4).service(1, 4).deadline_ms(3000);
+  let mut fleet = fleet.relayed().start().await;
+  let mut cuts = fleet.cuts_between_balancers(&[1, 2], &[3, 4]);
+  cuts.extend(fleet.cuts_to_agents(1, &[1, 2], &[3, 4]));
+  cuts.extend(fleet.cuts_to_agents(1, &[3, 4], &[1, 2]));
+  cuts.extend(fleet.cuts_between_agents(1, &[1, 2], &[3, 4]));
+  cuts.extend([fleet.cut_from_platform(3), fleet.cut_from_platform(4)]);
+  fleet
+    .plan(&Plan {
+      cuts,
+      ..Plan::default()
+    })
+    .await;
+  // One half hears that target 4 is gone: homes move there, and not in the other half.
+  fleet.targets(1).retain(|target| *target != 4);
+  let revision = fleet.publish(1).await;
+  fleet.wait_in_force(&[1, 2], 1, revision).await;
+  let keys = |name: &str| {
+    (0..12)
+      .map(|index| format!("{name}-{index}"))
+      .collect::<Vec<_>>()
+  };
+  let (here, there) = (keys("here"), keys("there"));
+  let mut told = BTreeMap::new();
+  fleet.spray(1, &[1, 2]).await;
+  confirm_all(&fleet, &here, 1, &mut told).await;
+  fleet.spray(1, &[3, 4]).await;
+  confirm_all(&fleet, &there, 1, &mut told).await;
+  confirm_all(&fleet, &here, 2, &mut told).await;
+  fleet.spray(1, &[1, 2]).await;
+  confirm_all(&fleet, &there, 2, &mut told).await;
+  fleet.plan(&Plan::default()).await;
+  fleet.spray(1, &[1, 2, 3, 4]).await;
+  fleet.wait_in_force(&[3, 4], 1, revision).await;
+  let all = here.iter().chain(&there).cloned().collect::<Vec<_>>();
+  confirm_all(&fleet, &all, 3, &mut told).await;
+  let journal = journal(&fleet, 4).await;
+  println!("{} of {} keys ran", journal.len(), all.len());
+  assert_truthful(&told, &journal);
+  assert!(journal.len() >= 6, "only {} ran", journal.len());
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn more_than_fits_is_told_at_once_when_to_come_back() {
   let fleet = Fleet::new().balancers(1).service(1, 2).start().await;
--- a/tests/support/fleet/addresses.rs
+++ b/tests/support/fleet/addresses.rs
@@ -65,6 +65,20 @@
     cuts
   }
 
+  /// The pairs of numbers to cut so that agents do not reach each other.
+  pub fn cuts_between_agents(
+    &self,
+    service: u16,
+    some: &[u32],
+    others: &[u32],
+  ) -> Vec<(IpAddr, IpAddr)> {
+    let host = |target| ip(self.net.octets, agent_host(service, target));
+    let pairs = some
+      .iter()
+      .flat_map(|a| others.iter().map(move |b| (*a, *b)));
+    pairs.map(|(a, b)| (host(a), host(b))).collect()
+  }
+
   /// The pair of numbers to cut so that a balancer does not reach the platform.
   pub fn cut_from_platform(&self, number: u8) -> (IpAddr, IpAddr) {
     (
