Let nothing through a cut that arrives after it

Ruled out: agents that read from the platform themselves (not stale yet). Change: the fabric looks at its cuts with every piece that it carries.

--- a/src/standin/fabric.rs
+++ b/src/standin/fabric.rs
@@ -135,8 +135,9 @@
         let Some(back) = back else {
           return;
         };
+        let ends = [caller.ip(), listen.ip(), back.ip()];
         let cut = async {
-          while !fabric.cuts(caller.ip(), listen.ip(), back.ip()) {
+          while !fabric.cuts(&ends) {
             tokio::time::sleep(STEP).await;
           }
         };
@@ -147,8 +148,8 @@
           let (read_in, write_in) = inward.split();
           let (read_out, write_out) = outward.split();
           tokio::select! {
-            () = fabric.copy(read_in, write_out) => {}
-            () = fabric.copy(read_out, write_in) => {}
+            () = fabric.copy(read_in, write_out, &ends) => {}
+            () = fabric.copy(read_out, write_in, &ends) => {}
           }
           Some(())
         };
@@ -161,11 +162,12 @@
     }
   }
 
-  /// Carries one direction of a connection until it ends.
-  async fn copy(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>) {
+  /// Carries one direction of a connection until it ends or is cut: nothing that arrives after
+  /// the cut gets through.
+  async fn copy(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, ends: &[IpAddr; 3]) {
     let mut buffer = vec![0; DATAGRAM_MAX];
     while let Ok(length) = from.read(&mut buffer).await {
-      if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
+      if length == 0 || self.cuts(ends) || to.write_all(&buffer[..length]).await.is_err() {
         return;
       }
       self
@@ -175,9 +177,9 @@
   }
 
   /// Whether who calls, or the front that it calls, is cut off from the back.
-  fn cuts(&self, caller: IpAddr, listen: IpAddr, back: IpAddr) -> bool {
+  fn cuts(&self, [caller, listen, back]: &[IpAddr; 3]) -> bool {
     let plan = lock(&self.plan);
-    plan.is_cut(caller, back) || plan.is_cut(listen, back)
+    plan.is_cut(*caller, *back) || plan.is_cut(*listen, *back)
   }
 
   fn count(&self, datagram: &[u8]) {
