Prove that what waited through a freeze is not run

Cause: the freeze of an agent while requests wait for its slot was proved at the admission machine only. Ruled out: nothing; the proof passed when it was first run and was not tried against a broken agent (docs/PROOFS.md says so of its kind). Change: one slot, one request that runs and two that wait, the agent frozen for 3 s past a deadline of 2. Conclusion: the check at the queue holds among processes too.

--- a/tests/integration/requests.rs
+++ b/tests/integration/requests.rs
@@ -250,6 +250,39 @@
   assert_truthful(&told, &journal(&fleet, 4).await);
 }
 
+/// One slot: the others wait when the agent freezes, and their time is over when it thaws.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_agent_that_slept_through_deadlines_runs_nothing_that_it_refuses() {
+  let fleet = Fleet::new().balancers(1).service(1, 1).slots(1);
+  let fleet = fleet.deadline_ms(2000).start().await;
+  let keys = (0..3)
+    .map(|index| format!("key-{index}"))
+    .collect::<Vec<_>>();
+  let calls = keys.iter().map(|key| confirm_once(&fleet, key, 1500, 1));
+  let frozen = async {
+    until("one runs and two wait", || async {
+      let path = &fleet.agent_state(1, 1).await["path"];
+      path["running"] == 1 && path["waiting"] == 2
+    })
+    .await;
+    fleet.freeze_agent(1, 1);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    fleet.thaw_agent(1, 1);
+  };
+  let (answers, ()) = tokio::join!(futures::future::join_all(calls), frozen);
+  let words = answers
+    .into_iter()
+    .map(|answer| answer.ok().map(|answer| answer.status.as_u16()));
+  let told = keys
+    .iter()
+    .cloned()
+    .zip(words.map(|word| vec![word]))
+    .collect::<BTreeMap<_, _>>();
+  let journal = journal(&fleet, 1).await;
+  assert_truthful(&told, &journal);
+  assert_eq!(journal.len(), 1, "{told:?} {journal:?}");
+}
+
 /// Sends each key once through the balancers that the fabric sprays to now.
 async fn confirm_all(
   fleet: &Fleet,
--- a/tests/support/fleet/processes.rs
+++ b/tests/support/fleet/processes.rs
@@ -163,6 +163,16 @@
     self.balancers.get_mut(&number).expect("balancer")
   }
 
+  /// Freezes an agent.
+  pub fn freeze_agent(&self, service: u16, target: u32) {
+    self.agents[&(service, target)].freeze();
+  }
+
+  /// Lets a frozen agent go on.
+  pub fn thaw_agent(&self, service: u16, target: u32) {
+    self.agents[&(service, target)].thaw();
+  }
+
   /// An agent's process.
   pub fn agent(&mut self, service: u16, target: u32) -> &mut Child {
     self.agents.get_mut(&(service, target)).expect("agent")
