Let one piece serve where the same stood two or three times

Cause: reading the whole change again: the walk over peers that may run a call stood in the first try and in the retry, with one copy of the body too many; the start of the metrics part in both programs; the reading of a refusal's code in three places; the age of the platform's word in two. Ruled out: merging the two shapes of web::serve and the reads of settings (the bounds and fields differ in meaning), and the tests' like-shaped tables. Change: hand_to_peers, metrics::start, Refusal::code, confirmed_ms. Behaviour is as before. Conclusion: nothing else was found worth a change now.

--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -53,12 +53,7 @@
   tree: &mut Tree,
 ) -> Result<Arc<Shared>, Fault> {
   let registry = Registry::default();
-  if let Some(server) = settings.metrics {
-    let (counter, registry) = (Arc::clone(counter), registry.clone());
-    tree.start("metrics", move |stop| {
-      metrics::run(server, &counter, || registry.all(), stop)
-    })?;
-  }
+  metrics::start(settings.metrics, counter, &registry, tree)?;
   let (views_in, views) = channel::unbounded();
   let tunnel = Socket::bind(bound(settings.tunnel, settings.bind), false)?;
   let handoffs = listen(bound(settings.tunnel, settings.bind))?;
--- a/src/agent/runner.rs
+++ b/src/agent/runner.rs
@@ -36,15 +36,10 @@
     return reply;
   }
   shared.counter.add("requests.retried", 1);
-  for peer in peers(shared).into_iter().take(PEERS_ASKED) {
-    let Some(copy) = again.copy() else {
-      break;
-    };
-    if let Some(reply) = hand_off(shared, peer, copy).await {
-      return reply;
-    }
+  match hand_to_peers(shared, &again).await {
+    Some(other) => other,
+    None => reply,
   }
-  reply
 }
 
 /// Runs a call that a peer has handed over: here and now, or not at all.
@@ -61,16 +56,9 @@
     return run_local(shared, call, true).await;
   }
   if !call.stays
-    && let Some(copy) = call.copy()
+    && let Some(reply) = hand_to_peers(shared, &call).await
   {
-    for peer in peers(shared).into_iter().take(PEERS_ASKED) {
-      let Some(copy) = copy.copy() else {
-        break;
-      };
-      if let Some(reply) = hand_off(shared, peer, copy).await {
-        return reply;
-      }
-    }
+    return reply;
   }
   if leaving {
     return Reply::Problem(Problem {
@@ -105,6 +93,16 @@
   }
 }
 
+/// Hands copies of a call to peers, one after another, until one runs it; none when none does.
+async fn hand_to_peers(shared: &Arc<Shared>, call: &Call) -> Option<Reply> {
+  for peer in peers(shared).into_iter().take(PEERS_ASKED) {
+    if let Some(reply) = hand_off(shared, peer, call.copy()?).await {
+      return Some(reply);
+    }
+  }
+  None
+}
+
 /// Hands a call to a peer; none when that peer certainly does not run it.
 async fn hand_off(shared: &Arc<Shared>, peer: Hop, call: Call) -> Option<Reply> {
   match handoff::send(shared, peer, call, &Mode::Run).await {
--- a/src/agent/tunnel.rs
+++ b/src/agent/tunnel.rs
@@ -157,7 +157,7 @@
         }
         Ok((Frame::Probe(probe), _)) => self.echo(&tagger, from, &probe),
         Ok((Frame::Refusal(refusal), _)) => {
-          let code = Code::from_number(refusal.code).unwrap_or(Code::PacketUnroutable);
+          let code = refusal.code();
           self.shared.counter.count(code);
         }
         Ok((Frame::Return(_), _)) => self.shared.counter.count(Code::FrameWrongTarget),
--- a/src/balancer/controller.rs
+++ b/src/balancer/controller.rs
@@ -223,7 +223,7 @@
             }
           }
           Ok((Frame::Refusal(refusal), _)) => {
-            let code = Code::from_number(refusal.code).unwrap_or(Code::PacketUnroutable);
+            let code = refusal.code();
             let member = (refusal.service, refusal.target);
             self.step(now, Event::Refused(member, code));
           }
--- a/src/balancer/run.rs
+++ b/src/balancer/run.rs
@@ -47,12 +47,7 @@
   tree: &mut Tree,
 ) -> Result<Arc<AtomicBool>, Fault> {
   let registry = Registry::default();
-  if let Some(server) = settings.metrics {
-    let (counter, registry) = (Arc::clone(counter), registry.clone());
-    tree.start("metrics", move |stop| {
-      metrics::run(server, &counter, || registry.all(), stop)
-    })?;
-  }
+  metrics::start(settings.metrics, counter, &registry, tree)?;
   let leaving = Arc::new(AtomicBool::new(false));
   let (views_in, views) = channel::unbounded();
   let node = Node::new(
--- a/src/balancer/worker.rs
+++ b/src/balancer/worker.rs
@@ -264,7 +264,7 @@
         }
         Ok((Frame::Probe(probe), _)) => self.echo(&snapshot, tagger, from, &probe),
         Ok((Frame::Refusal(refusal), _)) => {
-          let code = Code::from_number(refusal.code).unwrap_or(Code::PacketUnroutable);
+          let code = refusal.code();
           self.counter.count(code);
           let member = (refusal.service, refusal.target);
           self.report.refused.push((member, code));
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,13 +4,14 @@
   crate::{
     code::{Code, Fault},
     counter::Counter,
-    supervisor::Stop,
+    state::Registry,
+    supervisor::{Stop, Tree},
   },
   cadence::{Counted, Gauged, StatsdClient, UdpMetricSink},
-  serde_json::Value,
   std::{
     collections::BTreeMap,
     net::{SocketAddr, UdpSocket},
+    sync::Arc,
     time::Duration,
   },
 };
@@ -18,11 +19,27 @@
 /// How often metrics are sent.
 const PERIOD: Duration = Duration::from_secs(10);
 
+/// Starts the part that sends metrics, where the settings name a server.
+pub fn start(
+  server: Option<SocketAddr>,
+  counter: &Arc<Counter>,
+  registry: &Registry,
+  tree: &mut Tree,
+) -> Result<(), Fault> {
+  let Some(server) = server else {
+    return Ok(());
+  };
+  let (counter, registry) = (Arc::clone(counter), registry.clone());
+  tree.start("metrics", move |stop| {
+    run(server, &counter, &registry, stop)
+  })
+}
+
 /// Sends the counts that rose and the numbers of the state until it is told to stop.
-pub fn run(
+fn run(
   server: SocketAddr,
   counter: &Counter,
-  state: impl Fn() -> Value,
+  registry: &Registry,
   stop: &Stop,
 ) -> Result<(), Fault> {
   let client = client(server)?;
@@ -32,7 +49,7 @@
       let before = sent.insert(name.clone(), count).unwrap_or(0);
       let _ = client.count(&name, count - before);
     }
-    let state = state();
+    let state = registry.all();
     for (name, value) in state["path"].as_object().into_iter().flatten() {
       if let Some(value) = value.as_u64() {
         let _ = client.gauge(&format!("path.{name}"), value);
--- a/src/peer/machine.rs
+++ b/src/peer/machine.rs
@@ -165,6 +165,10 @@
     self.role == Role::Carrier || self.part.contains(&key)
   }
 
+  fn confirmed_ms(&self, now: Instant) -> Option<u64> {
+    self.confirmed(now).map(|age| age.as_millis() as u64)
+  }
+
   fn received(&mut self, now: Instant, from: SocketAddr, message: Message) -> Vec<Outgoing> {
     match message {
       Message::Buckets(digest) => self.compare(from, &digest),
@@ -200,7 +204,7 @@
     };
     let message = match self.role {
       Role::Carrier => Message::Digest {
-        confirmed_ms: self.confirmed(now).map(|age| age.as_millis() as u64),
+        confirmed_ms: self.confirmed_ms(now),
         root: self.store.digest().root(),
       },
       Role::Follower { service, target } => Message::Follow {
@@ -223,7 +227,7 @@
     self.confirmed = self.confirmed.max(heard);
     if root == self.store.digest().root() {
       // The peer learns in return how fresh this side is; an equal digest ends the exchange.
-      let age = self.confirmed(now).map(|age| age.as_millis() as u64);
+      let age = self.confirmed_ms(now);
       let fresher = match (age, confirmed_ms) {
         (Some(own), Some(theirs)) => own + 500 < theirs,
         (Some(_), None) => true,
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -145,6 +145,13 @@
   Return(Return),
 }
 
+impl Refusal {
+  /// The result code; one that a newer process has made up counts as unroutable.
+  pub fn code(&self) -> Code {
+    Code::from_number(self.code).unwrap_or(Code::PacketUnroutable)
+  }
+}
+
 impl Frame {
   /// Writes the header, tagged with the current secret, and returns its length. The tag covers
   /// the header and the packet's length; the packet's content is sealed by QUIC itself.
