--- /dev/null
+++ b/src/datagram.rs
@@ -0,0 +1,42 @@
+//! Services whose flows are carried whole, as datagrams between a caller and its upstream.
+//!
+//! No packet names its target, so a balancer remembers where it placed a flow, and asks the agents
+//! where it does not know. An agent sees both directions and knows the flows of its upstream.
+
+pub mod agent;
+pub mod balancer;
+mod catalog;
+mod codec;
+mod configuration;
+/// What machines are told.
+pub mod event;
+mod flow;
+/// What passes between the processes in datagrams.
+pub mod frame;
+mod head;
+mod load;
+pub mod node;
+mod outbox;
+mod record;
+mod service;
+mod settings;
+mod spread;
+/// The platform's list of targets.
+pub mod target;
+
+pub use {
+  catalog::{Catalog, Change, Entry},
+  codec::Codec,
+  configuration::{Configuration, Version},
+  event::{Event, Machine, Origin},
+  flow::{Flow, FlowInvalid},
+  frame::Frame,
+  head::Head,
+  load::Load,
+  outbox::{Datagram, Outbox, Via},
+  record::{News, Record},
+  service::Service,
+  settings::{Settings, Tuning, Upstream},
+  spread::Spread,
+  target::Target,
+};
--- /dev/null
+++ b/src/datagram/agent.rs
@@ -0,0 +1,7 @@
+//! What an agent does with the packets of its upstream's flows, which it sees both ways.
+
+mod held;
+mod machine;
+mod work;
+
+pub use machine::Machine;
--- /dev/null
+++ b/src/datagram/agent/held.rs
@@ -0,0 +1,47 @@
+use std::{net::SocketAddrV4, time::Instant};
+
+/// A flow at the agent's upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+  /// The balancer that its last packet came from.
+  pub balancer: Option<SocketAddrV4>,
+  /// The bytes that passed either way since its last request was answered.
+  pub bytes: u32,
+  /// When its last packet passed, either way.
+  pub seen: Instant,
+  /// How far it is.
+  pub state: State,
+  /// Since when a request waits for its answer.
+  pub waits: Option<Instant>,
+}
+
+impl Held {
+  /// A flow that is not known to have moved anything yet.
+  pub fn new(now: Instant, state: State, balancer: Option<SocketAddrV4>) -> Self {
+    Self {
+      balancer,
+      bytes: 0,
+      seen: now,
+      state,
+      waits: None,
+    }
+  }
+}
+
+/// How far a flow is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum State {
+  /// The upstream was given the opening packet; with the sequence number of its answer.
+  Opening(Option<u32>),
+  /// The upstream has it.
+  Open,
+  /// The upstream sent a packet of it back: it is not there.
+  Absent,
+  /// The upstream was given a packet and may send it back, by then.
+  Tested {
+    /// When it counts as held.
+    deadline: Instant,
+    /// Whether the balancer wants the packet back if it is not.
+    wanted: bool,
+  },
+}
--- /dev/null
+++ b/src/datagram/agent/machine.rs
@@ -0,0 +1,515 @@
+use {
+  super::{
+    held::{Held, State},
+    work::Work,
+  },
+  crate::{
+    Code,
+    config::Presence,
+    counter::Counter,
+    datagram::{
+      Change, Codec, Event, Flow, Frame, Head, Load, Origin, Outbox, Settings, Spread, Tuning,
+      Upstream, Version, Via, event,
+      frame::{Purpose, Refusal, Role, Status},
+    },
+  },
+  std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddrV4,
+    sync::Arc,
+    time::{Duration, Instant},
+  },
+};
+
+/// How often what is long past is forgotten.
+const EXPIRE: Duration = Duration::from_secs(2);
+
+/// How long a flow that the upstream sent back is remembered as absent. It is not given packets of
+/// it again in that time: each counts as a stray.
+const ABSENT_KEPT: Duration = Duration::from_secs(5);
+
+/// A request that was not answered for so long no longer counts as work.
+const WORK_MAX: Duration = Duration::from_secs(10);
+
+/// What came with a caller's packet.
+struct Carried<'a> {
+  from: SocketAddrV4,
+  head: Head,
+  packet: &'a [u8],
+  purpose: Purpose,
+}
+
+/// Decides which packets reach an agent's upstream, and sends the upstream's to the callers.
+pub struct Machine<C> {
+  codec: C,
+  counter: Arc<Counter>,
+  expired: Instant,
+  flows: HashMap<Flow, Held>,
+  /// Until when flows may turn up that this run has not seen opening.
+  forgetful_until: Instant,
+  leaving: bool,
+  port: u16,
+  reported: (Instant, Load),
+  slots: u16,
+  spread: Spread,
+  tests: VecDeque<(Instant, Flow)>,
+  tuning: Tuning,
+  upstream: Upstream,
+  work: Work,
+}
+
+impl<C: Codec> Machine<C> {
+  /// The machine of an agent that has just started beside `upstream`.
+  pub fn new(
+    now: Instant,
+    settings: &Settings,
+    upstream: Upstream,
+    tuning: Tuning,
+    codec: C,
+    incarnation: u32,
+    counter: Arc<Counter>,
+  ) -> Self {
+    let spread = Spread::new(
+      now,
+      settings.peers,
+      false,
+      incarnation,
+      &settings.seeds,
+      tuning,
+    );
+    let forgetful = if settings.first_start {
+      Duration::ZERO
+    } else {
+      tuning.amnesia
+    };
+    Self {
+      codec,
+      counter,
+      expired: now,
+      flows: HashMap::new(),
+      forgetful_until: now + forgetful,
+      leaving: false,
+      port: settings.callers.port(),
+      reported: (now, Load::default()),
+      slots: 1,
+      spread,
+      tests: VecDeque::new(),
+      tuning,
+      upstream,
+      work: Work::default(),
+    }
+  }
+
+  /// How many flows are remembered.
+  pub fn remembered(&self) -> usize {
+    self.flows.len()
+  }
+
+  fn frame(
+    &mut self,
+    now: Instant,
+    from: SocketAddrV4,
+    bytes: &[u8],
+    out: &mut Outbox,
+  ) -> Result<(), Code> {
+    let (frame, packet) = Frame::decode(bytes)?;
+    match frame {
+      Frame::Carry {
+        purpose,
+        service,
+        version,
+      } => self.carry(now, from, purpose, service, version, packet, out),
+      Frame::Held { flows, whole } => {
+        self.reminded(now, from, &flows, whole);
+        Ok(())
+      }
+      Frame::News(news) => {
+        let change = self.spread.news(now, Origin::Peer(from), news, out);
+        self.changed(&change);
+        Ok(())
+      }
+      Frame::Status(status) => {
+        self.status(now, from, &status);
+        Ok(())
+      }
+      _ => Err(Code::FrameWrongTarget),
+    }
+  }
+
+  #[expect(clippy::too_many_arguments, reason = "the fields of one frame")]
+  fn carry(
+    &mut self,
+    now: Instant,
+    from: SocketAddrV4,
+    purpose: Purpose,
+    service: u64,
+    version: Version,
+    packet: &[u8],
+    out: &mut Outbox,
+  ) -> Result<(), Code> {
+    let head = self.codec.read_from_caller(packet)?;
+    self.spread.heard(now, from, true);
+    let carried = Carried {
+      from,
+      head,
+      packet,
+      purpose,
+    };
+    if service != self.upstream.service.digest() {
+      self.turn_away(now, &carried, Refusal::Service, out);
+      return Err(Code::FrameWrongService);
+    }
+    if head.opens {
+      self.open(now, &carried, version, out);
+    } else {
+      self.deliver(now, &carried, out);
+    }
+    Ok(())
+  }
+
+  fn open(&mut self, now: Instant, carried: &Carried, version: Version, out: &mut Outbox) {
+    let flow = carried.head.flow;
+    let catalog = self.spread.catalog();
+    let dropped =
+      catalog.version() > version && catalog.service(&flow.route) != Some(&self.upstream.service);
+    if dropped {
+      log::info!(
+        flow:% = flow, version:% = catalog.version(), sender:% = version;
+        "agent: opening packet is for a dropped route."
+      );
+      self.counter.count(Code::PacketUnroutable);
+      return;
+    }
+    if self.leaving {
+      self.turn_away(now, carried, Refusal::Leaving, out);
+      return;
+    }
+    let entry = self
+      .flows
+      .entry(flow)
+      .or_insert(Held::new(now, State::Opening(None), None));
+    if matches!(entry.state, State::Absent | State::Tested { .. }) {
+      entry.state = State::Opening(None);
+    }
+    entry.balancer = Some(carried.from);
+    entry.seen = now;
+    self.work.asked(now);
+    out.packet(Via::Upstream, self.upstream.address, carried.packet);
+  }
+
+  /// Takes a packet of a flow that is not being opened.
+  fn deliver(&mut self, now: Instant, carried: &Carried, out: &mut Outbox) {
+    let flow = carried.head.flow;
+    let forgetful = now < self.forgetful_until;
+    let Some(entry) = self.flows.get_mut(&flow) else {
+      if forgetful {
+        self.test(now, carried, out);
+      } else {
+        absent(carried, out);
+      }
+      return;
+    };
+    let opened_here = |sequence: u32| {
+      let distance = carried.head.acknowledges.wrapping_sub(sequence);
+      distance <= 1
+    };
+    match entry.state {
+      State::Opening(Some(sequence)) if opened_here(sequence) => entry.state = State::Open,
+      State::Opening(_) | State::Absent => {
+        absent(carried, out);
+        return;
+      }
+      State::Open | State::Tested { .. } => {}
+    }
+    entry.seen = now;
+    entry.balancer = Some(carried.from);
+    entry.bytes = entry.bytes.saturating_add(carried.packet.len() as u32);
+    if carried.head.data > 0 && entry.waits.is_none() {
+      entry.waits = Some(now);
+      self.work.begun();
+    }
+    let tested = matches!(entry.state, State::Tested { .. });
+    if carried.purpose == Purpose::Search && !tested {
+      out.frame(carried.from, &Frame::Found(flow), &[]);
+    }
+    out.packet(Via::Upstream, self.upstream.address, carried.packet);
+  }
+
+  /// This run does not know the flow, but its upstream may: it is given the packet and sends it
+  /// back if it does not.
+  fn test(&mut self, now: Instant, carried: &Carried, out: &mut Outbox) {
+    let flow = carried.head.flow;
+    log::info!(flow:% = flow, from:% = carried.from; "agent: flow is unknown and tested.");
+    let deadline = now + self.tuning.test;
+    self.tests.push_back((deadline, flow));
+    self.flows.insert(
+      flow,
+      Held::new(
+        now,
+        State::Tested {
+          deadline,
+          wanted: carried.purpose == Purpose::Deliver,
+        },
+        Some(carried.from),
+      ),
+    );
+    out.packet(Via::Upstream, self.upstream.address, carried.packet);
+  }
+
+  fn turn_away(&mut self, now: Instant, carried: &Carried, refusal: Refusal, out: &mut Outbox) {
+    let flow = carried.head.flow;
+    if carried.purpose == Purpose::Open {
+      log::info!(flow:% = flow, why:? = refusal; "agent: flow is not opened.");
+      let load = self.load(now);
+      let frame = Frame::Refused(flow, refusal, load);
+      out.frame(carried.from, &frame, &[]);
+    } else {
+      absent(carried, out);
+    }
+  }
+
+  /// A packet came from the upstream.
+  fn packet(&mut self, now: Instant, packet: &mut [u8], out: &mut Outbox) -> Result<(), Code> {
+    let head = self.codec.read_from_upstream(packet)?;
+    if head.returned {
+      self.codec.restore(packet);
+      self.returned(now, &head, packet, out);
+      return Ok(());
+    }
+    self.work.heard();
+    self.answered(now, &head, packet.len(), out);
+    let to = SocketAddrV4::new(*head.flow.caller.ip(), self.port);
+    out.packet(Via::Callers, to, packet);
+    Ok(())
+  }
+
+  /// Learns from a packet on its way to a caller.
+  fn answered(&mut self, now: Instant, head: &Head, length: usize, out: &mut Outbox) {
+    let flow = head.flow;
+    let load = self.load(now);
+    let entry = self
+      .flows
+      .entry(flow)
+      .or_insert(Held::new(now, State::Open, None));
+    entry.seen = now;
+    entry.bytes = entry.bytes.saturating_add(length as u32);
+    if head.opens {
+      entry.state = State::Opening(Some(head.sequence));
+      if let Some(balancer) = entry.balancer {
+        out.frame(balancer, &Frame::Opened(flow, load), &[]);
+      }
+      return;
+    }
+    if let (State::Tested { .. }, Some(balancer)) = (entry.state, entry.balancer) {
+      out.frame(balancer, &Frame::Found(flow), &[]);
+    }
+    if !matches!(entry.state, State::Opening(_)) {
+      entry.state = State::Open;
+    }
+    if head.data == 0 && !head.resets && !head.ends {
+      return;
+    }
+    if let Some(since) = entry.waits.take() {
+      if head.data > 0 {
+        self.work.moved(f64::from(entry.bytes));
+        entry.bytes = 0;
+        self
+          .work
+          .answered(now.saturating_duration_since(since), self.slots);
+      } else {
+        self.work.ended();
+      }
+    }
+  }
+
+  /// The upstream sent a packet back.
+  fn returned(&mut self, now: Instant, head: &Head, packet: &[u8], out: &mut Outbox) {
+    let flow = head.flow;
+    self.work.heard();
+    let entry = self.flows.get(&flow).copied();
+    if entry.is_some_and(|entry| entry.waits.is_some()) {
+      self.work.ended();
+    }
+    log::info!(
+      flow:% = flow, opens = head.opens, state:? = entry.map(|entry| entry.state);
+      "agent: upstream does not hold the flow."
+    );
+    let balancer = entry.and_then(|entry| entry.balancer);
+    if head.opens {
+      self.flows.remove(&flow);
+      if let Some(balancer) = balancer {
+        let frame = Frame::Refused(flow, Refusal::Full, self.load(now));
+        out.frame(balancer, &frame, &[]);
+      }
+      return;
+    }
+    self
+      .flows
+      .insert(flow, Held::new(now, State::Absent, balancer));
+    let wanted = !matches!(
+      entry.map(|entry| entry.state),
+      Some(State::Tested { wanted: false, .. })
+    );
+    if let Some(balancer) = balancer {
+      let packet = if wanted { packet } else { &[] };
+      out.frame(balancer, &Frame::Absent(flow), packet);
+    }
+  }
+
+  /// A balancer says which flows it believes to be here.
+  fn reminded(&mut self, now: Instant, from: SocketAddrV4, flows: &[Flow], whole: bool) {
+    for flow in flows {
+      self
+        .flows
+        .entry(*flow)
+        .or_insert(Held::new(now, State::Open, Some(from)));
+    }
+    if whole {
+      self.forgetful_until = now;
+    }
+  }
+
+  fn status(&mut self, now: Instant, from: SocketAddrV4, status: &Status) {
+    self.spread.status(now, from, status);
+  }
+
+  fn changed(&mut self, change: &Change) {
+    if change.is_empty() {
+      return;
+    }
+    let Some((id, entry)) = self.spread.catalog().at(self.upstream.address) else {
+      return;
+    };
+    self.slots = entry.target.slots.max(1);
+    let leaving = entry.target.presence == Presence::Leaving
+      || entry.gone.is_some()
+      || entry.target.service != self.upstream.service;
+    if leaving != self.leaving {
+      log::info!(target:% = id, leaving = leaving; "agent: the list says whether it leaves.");
+      self.leaving = leaving;
+    }
+  }
+
+  fn load(&self, now: Instant) -> Load {
+    self.work.load(now, self.flows.len())
+  }
+
+  fn tick(&mut self, now: Instant, out: &mut Outbox) {
+    while let Some((deadline, flow)) = self.tests.front().copied() {
+      if deadline > now {
+        break;
+      }
+      self.tests.pop_front();
+      self.kept(flow, deadline, out);
+    }
+    if now >= self.expired + EXPIRE {
+      self.expired = now;
+      self.expire(now);
+    }
+    let load = self.load(now);
+    let role = Role::Agent(load);
+    let (reported, before) = self.reported;
+    let changed = load.work.abs_diff(before.work) > 0 || load.down != before.down;
+    if now >= self.spread.deadline() || (changed && now >= reported + self.tuning.report) {
+      self.reported = (now, load);
+      self.spread.tell_now(now, role, out);
+    }
+  }
+
+  /// The upstream did not send a tested packet back: it has the flow.
+  fn kept(&mut self, flow: Flow, deadline: Instant, out: &mut Outbox) {
+    let Some(entry) = self.flows.get_mut(&flow) else {
+      return;
+    };
+    if !matches!(entry.state, State::Tested { deadline: own, .. } if own == deadline) {
+      return;
+    }
+    entry.state = State::Open;
+    log::info!(flow:% = flow; "agent: tested flow was not sent back.");
+    if let Some(balancer) = entry.balancer {
+      out.frame(balancer, &Frame::Found(flow), &[]);
+    }
+  }
+
+  fn expire(&mut self, now: Instant) {
+    let idle = self.spread.catalog().configuration();
+    let idle = idle.map_or(self.tuning.idle, |entry| {
+      entry.idle.max(Duration::from_secs(1))
+    });
+    let work = &mut self.work;
+    self.flows.retain(|_, entry| {
+      let rest = now.saturating_duration_since(entry.seen);
+      let kept = match entry.state {
+        State::Absent => ABSENT_KEPT,
+        _ => idle,
+      };
+      let overdue = entry
+        .waits
+        .is_some_and(|since| now.saturating_duration_since(since) >= WORK_MAX);
+      if entry.waits.is_some() && (overdue || rest >= kept) {
+        entry.waits = None;
+        work.ended();
+      }
+      rest < kept
+    });
+    self.spread.expire(now);
+  }
+}
+
+impl<C: Codec> event::Machine for Machine<C> {
+  fn step(&mut self, now: Instant, event: Event, out: &mut Outbox) {
+    let result = match event {
+      Event::Frame { from, bytes } => self.frame(now, from, bytes, out),
+      Event::News(origin, news) => {
+        let change = self.spread.news(now, origin, news, out);
+        self.changed(&change);
+        Ok(())
+      }
+      Event::Packet(packet) => self.packet(now, packet, out),
+      Event::Stop => {
+        self.spread.stop(now);
+        Ok(())
+      }
+      Event::Tick => {
+        self.tick(now, out);
+        Ok(())
+      }
+      Event::Unreachable(peer) => {
+        self.spread.unreachable(peer);
+        Ok(())
+      }
+    };
+    if let Err(code) = result {
+      self.counter.count(code);
+    }
+  }
+
+  fn deadline(&self) -> Instant {
+    let test = self.tests.front().map(|(deadline, _)| *deadline);
+    let status = self.spread.deadline();
+    let report = (self.load_changed()).then_some(self.reported.0 + self.tuning.report);
+    [test, report]
+      .into_iter()
+      .flatten()
+      .fold(status, Instant::min)
+  }
+
+  fn spread(&mut self) -> &mut Spread {
+    &mut self.spread
+  }
+}
+
+impl<C: Codec> Machine<C> {
+  fn load_changed(&self) -> bool {
+    self.work.under_way() != self.reported.1.work
+  }
+}
+
+/// Tells a balancer that a flow is not here.
+fn absent(carried: &Carried, out: &mut Outbox) {
+  let packet = match carried.purpose {
+    Purpose::Deliver => carried.packet,
+    Purpose::Open | Purpose::Search => &[],
+  };
+  out.frame(carried.from, &Frame::Absent(carried.head.flow), packet);
+}
--- /dev/null
+++ b/src/datagram/agent/work.rs
@@ -0,0 +1,87 @@
+use {
+  crate::datagram::Load,
+  std::time::{Duration, Instant},
+};
+
+/// The weight of the newest request in the means.
+const NEWEST: f64 = 0.05;
+
+/// An upstream that leaves opening packets unanswered for so long does not serve.
+const SILENT: Duration = Duration::from_millis(60);
+
+/// What an upstream has to do, as its agent counts it.
+#[derive(Debug, Default)]
+pub struct Work {
+  bytes: f64,
+  /// Since when an opening packet is unanswered.
+  silent: Option<Instant>,
+  service_ms: f64,
+  under_way: u16,
+}
+
+impl Work {
+  /// A request has begun.
+  pub fn begun(&mut self) {
+    self.under_way = self.under_way.saturating_add(1);
+  }
+
+  /// A request has ended, answered or not.
+  pub fn ended(&mut self) {
+    self.under_way = self.under_way.saturating_sub(1);
+  }
+
+  /// A request was answered after `time`; it counts as a measure when few others were there.
+  pub fn answered(&mut self, time: Duration, slots: u16) {
+    if self.under_way <= slots {
+      let ms = time.as_secs_f64() * 1000.0;
+      self.service_ms = blend(self.service_ms, ms);
+    }
+    self.ended();
+  }
+
+  /// A flow has ended that moved so many bytes in so many requests.
+  pub fn moved(&mut self, bytes: f64) {
+    self.bytes = blend(self.bytes, bytes);
+  }
+
+  /// The upstream was given an opening packet.
+  pub fn asked(&mut self, now: Instant) {
+    self.silent.get_or_insert(now);
+  }
+
+  /// The upstream said something.
+  pub fn heard(&mut self) {
+    self.silent = None;
+  }
+
+  /// How many requests are under way.
+  pub fn under_way(&self) -> u16 {
+    self.under_way
+  }
+
+  /// What others are told.
+  pub fn load(&self, now: Instant, flows: usize) -> Load {
+    let down = self
+      .silent
+      .is_some_and(|since| now.saturating_duration_since(since) >= SILENT);
+    Load {
+      bytes: whole(self.bytes) as u32,
+      down,
+      flows: flows.min(usize::from(u16::MAX)) as u16,
+      service_ms: whole(self.service_ms) as u16,
+      work: self.under_way,
+    }
+  }
+}
+
+/// A mean as a count; none of them is negative.
+fn whole(mean: f64) -> u64 {
+  mean.round().abs().min(f64::from(u16::MAX)) as u64
+}
+
+fn blend(mean: f64, newest: f64) -> f64 {
+  if mean == 0.0 {
+    return newest;
+  }
+  mean + NEWEST * (newest - mean)
+}
--- /dev/null
+++ b/src/datagram/balancer.rs
@@ -0,0 +1,9 @@
+//! What a balancer does with the packets of callers: it places new flows, remembers where they
+//! are, and searches for those that it does not know.
+
+mod machine;
+mod place;
+mod search;
+mod targets;
+
+pub use machine::Machine;
--- /dev/null
+++ b/src/datagram/balancer/machine.rs
@@ -0,0 +1,562 @@
+use {
+  super::{
+    place::{Opening, Place, State, Tried},
+    search::Search,
+    targets::Targets,
+  },
+  crate::{
+    Code,
+    counter::Counter,
+    datagram::{
+      Codec, Event, Flow, Frame, Head, Outbox, Service, Settings, Spread, Tuning, Via, event,
+      frame::{Purpose, Refusal, Role, Status},
+    },
+  },
+  smallvec::SmallVec,
+  std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddrV4,
+    sync::Arc,
+    time::{Duration, Instant},
+  },
+};
+
+/// How many targets one copy of an opening packet is sent to at most, one after another.
+const TRIES_MAX: usize = 4;
+
+/// How often what is long past is forgotten.
+const EXPIRE: Duration = Duration::from_secs(2);
+
+/// How old the platform's last word may be for a route that is not known to count as dropped.
+const ROUTE_FRESH: Duration = Duration::from_millis(2500);
+
+/// How many flows one frame names.
+const HELD_MAX: usize = 80;
+
+/// Decides where a balancer sends the packets of callers.
+pub struct Machine<C> {
+  codec: C,
+  counter: Arc<Counter>,
+  expired: Instant,
+  flows: HashMap<Flow, Place>,
+  openings: VecDeque<(Instant, Flow)>,
+  port: u16,
+  searches: HashMap<Flow, Search>,
+  searching: VecDeque<(Instant, Flow)>,
+  spread: Spread,
+  targets: Targets,
+  tuning: Tuning,
+}
+
+impl<C: Codec> Machine<C> {
+  /// The machine of a balancer that has just started.
+  pub fn new(
+    now: Instant,
+    settings: &Settings,
+    tuning: Tuning,
+    codec: C,
+    incarnation: u32,
+    counter: Arc<Counter>,
+  ) -> Self {
+    let spread = Spread::new(
+      now,
+      settings.peers,
+      true,
+      incarnation,
+      &settings.seeds,
+      tuning,
+    );
+    Self {
+      codec,
+      counter,
+      expired: now,
+      flows: HashMap::new(),
+      openings: VecDeque::new(),
+      port: settings.callers.port(),
+      searches: HashMap::new(),
+      searching: VecDeque::new(),
+      spread,
+      targets: Targets::new(settings.data_centre.clone(), settings.peers.port(), tuning),
+      tuning,
+    }
+  }
+
+  /// How many flows are remembered, and how many are searched for.
+  pub fn remembered(&self) -> (usize, usize) {
+    (self.flows.len(), self.searches.len())
+  }
+
+  fn packet(&mut self, now: Instant, packet: &[u8], out: &mut Outbox) -> Result<(), Code> {
+    let head = self.codec.read_from_caller(packet)?;
+    let Some(service) = self.spread.catalog().service(&head.flow.route).cloned() else {
+      return self.without_route(now, &head, out);
+    };
+    if head.opens {
+      return self.open(now, &head, &service, packet, out);
+    }
+    match self.flows.get_mut(&head.flow) {
+      Some(place) if matches!(place.state, State::Dead) => {
+        self.reset(&head.flow, head.acknowledges, out);
+      }
+      Some(place) => {
+        place.seen = now;
+        let agent = place.agent;
+        self.carry(agent, Purpose::Deliver, &service, packet, out);
+      }
+      None => self.search(now, &head, &service, packet, None, out),
+    }
+    Ok(())
+  }
+
+  /// Nothing may take the packet. The caller is told at once, unless a route may have come that is
+  /// not known here yet.
+  fn without_route(&mut self, now: Instant, head: &Head, out: &mut Outbox) -> Result<(), Code> {
+    let age = self.spread.confirmed(now);
+    let fresh = age.is_some_and(|age| age < ROUTE_FRESH);
+    if self.spread.catalog().configuration().is_none() || !fresh {
+      return Err(Code::NotReady);
+    }
+    self.flows.remove(&head.flow);
+    log::info!(
+      flow:% = head.flow, version:% = self.spread.catalog().version(), age:? = age;
+      "balancer: flow has no route and is reset."
+    );
+    self.reset(&head.flow, head.acknowledges, out);
+    Err(Code::PacketUnroutable)
+  }
+
+  fn open(
+    &mut self,
+    now: Instant,
+    head: &Head,
+    service: &Service,
+    packet: &[u8],
+    out: &mut Outbox,
+  ) -> Result<(), Code> {
+    let mut tried = Tried::new();
+    match self.flows.get_mut(&head.flow) {
+      Some(place) if matches!(place.state, State::Open) => {
+        // The answer of its target was lost on the way, or is.
+        place.seen = now;
+        let agent = place.agent;
+        self.carry(agent, Purpose::Open, service, packet, out);
+        return Ok(());
+      }
+      Some(Place {
+        state: State::Opening(opening),
+        ..
+      }) => tried = std::mem::take(&mut opening.tried),
+      _ => {}
+    }
+    if self.flows.len() >= self.tuning.flows_max {
+      return Err(Code::QueueFull);
+    }
+    self.place(now, head.flow, service, packet, tried, out)
+  }
+
+  /// Sends an opening packet to the best target that was not tried, else to the best.
+  fn place(
+    &mut self,
+    now: Instant,
+    flow: Flow,
+    service: &Service,
+    packet: &[u8],
+    mut tried: Tried,
+    out: &mut Outbox,
+  ) -> Result<(), Code> {
+    let mut agent = self.targets.choose(now, service, &tried);
+    if agent.is_none() && !tried.is_empty() {
+      tried.clear();
+      agent = self.targets.choose(now, service, &tried);
+    }
+    let Some(agent) = agent else {
+      log::info!(flow:% = flow, service:% = service; "balancer: flow has no target.");
+      return Err(Code::PacketUnroutable);
+    };
+    log::info!(
+      flow:% = flow, service:% = service, to:% = agent, before = tried.len(),
+      target:? = self.targets.get(agent), version:% = self.spread.catalog().version();
+      "balancer: flow is placed."
+    );
+    tried.push(agent);
+    self.targets.placed(agent);
+    let deadline = now + self.tuning.open_wait;
+    self.openings.push_back((deadline, flow));
+    self.flows.insert(
+      flow,
+      Place {
+        agent,
+        seen: now,
+        state: State::Opening(Opening {
+          deadline,
+          packet: SmallVec::from_slice(packet),
+          tried,
+        }),
+      },
+    );
+    self.carry(agent, Purpose::Open, service, packet, out);
+    Ok(())
+  }
+
+  /// An opening packet goes on to the next target.
+  fn place_next(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
+    let service = self.spread.catalog().service(&flow.route).cloned();
+    let Some(Place {
+      state: State::Opening(opening),
+      ..
+    }) = self.flows.get(&flow)
+    else {
+      return;
+    };
+    let Some(service) = service else {
+      return;
+    };
+    if opening.tried.len() >= TRIES_MAX {
+      return;
+    }
+    let opening = opening.clone();
+    // The next copy of its caller tries again where nothing is left now.
+    let next = self.targets.choose(now, &service, &opening.tried);
+    if next.is_some()
+      && let Err(code) = self.place(now, flow, &service, &opening.packet, opening.tried, out)
+    {
+      self.counter.count(code);
+    }
+  }
+
+  /// Asks all that may have a flow.
+  fn search(
+    &mut self,
+    now: Instant,
+    head: &Head,
+    service: &Service,
+    packet: &[u8],
+    except: Option<SocketAddrV4>,
+    out: &mut Outbox,
+  ) {
+    let holders = self.targets.holders(service).iter().copied();
+    let asked = holders
+      .filter(|agent| Some(*agent) != except)
+      .collect::<SmallVec<[SocketAddrV4; 12]>>();
+    let deadline = now + self.tuning.search;
+    let searching = &mut self.searching;
+    let search = self.searches.entry(head.flow).or_insert_with(|| {
+      searching.push_back((deadline, head.flow));
+      log::info!(flow:% = head.flow, asked = asked.len(); "balancer: flow is searched for.");
+      Search {
+        acknowledges: head.acknowledges,
+        deadline,
+        packets: 0,
+        waiting: asked.clone(),
+      }
+    });
+    search.acknowledges = head.acknowledges;
+    if search.packets >= self.tuning.search_packets {
+      return;
+    }
+    search.packets += 1;
+    if search.waiting.is_empty() {
+      self.conclude(now, head.flow, out);
+      return;
+    }
+    for agent in asked {
+      self.carry(agent, Purpose::Search, service, packet, out);
+    }
+  }
+
+  /// An agent does not have a flow.
+  fn absent(
+    &mut self,
+    now: Instant,
+    from: SocketAddrV4,
+    flow: Flow,
+    packet: &[u8],
+    out: &mut Outbox,
+  ) {
+    let here = self.flows.get(&flow);
+    let here = here.is_some_and(|place| place.agent == from && !matches!(place.state, State::Dead));
+    if here {
+      self.flows.remove(&flow);
+    }
+    if let Some(search) = self.searches.get_mut(&flow) {
+      search.waiting.retain(|agent| *agent != from);
+      self.conclude(now, flow, out);
+    }
+    if packet.is_empty() {
+      return;
+    }
+    log::info!(flow:% = flow, from:% = from; "balancer: flow is not where it was.");
+    let Ok(head) = self.codec.read_from_caller(packet) else {
+      self.counter.count(Code::PacketTooShort);
+      return;
+    };
+    let service = self.spread.catalog().service(&flow.route).cloned();
+    if let (Some(service), false) = (service, self.flows.contains_key(&flow)) {
+      self.search(now, &head, &service, packet, Some(from), out);
+    }
+  }
+
+  /// Ends a search that nobody is left to answer: the flow is nowhere, and its caller is told.
+  fn conclude(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
+    let Some(search) = self.searches.get_mut(&flow) else {
+      return;
+    };
+    let targets = &self.targets;
+    search.waiting.retain(|agent| !targets.is_lost(now, *agent));
+    if !search.waiting.is_empty() {
+      return;
+    }
+    let acknowledges = search.acknowledges;
+    self.searches.remove(&flow);
+    if self.flows.contains_key(&flow) {
+      return;
+    }
+    log::info!(flow:% = flow; "balancer: flow is nowhere and is reset.");
+    self.counter.count(Code::FlowUnknown);
+    self.flows.insert(
+      flow,
+      Place {
+        agent: self.spread.address(),
+        seen: now,
+        state: State::Dead,
+      },
+    );
+    self.reset(&flow, acknowledges, out);
+  }
+
+  fn reset(&self, flow: &Flow, acknowledges: u32, out: &mut Outbox) {
+    let to = SocketAddrV4::new(*flow.caller.ip(), self.port);
+    out.write(Via::Callers, to, |bytes| {
+      self.codec.write_reset(flow, acknowledges, bytes);
+    });
+  }
+
+  fn carry(
+    &self,
+    agent: SocketAddrV4,
+    purpose: Purpose,
+    service: &Service,
+    packet: &[u8],
+    out: &mut Outbox,
+  ) {
+    let frame = Frame::Carry {
+      purpose,
+      service: service.digest(),
+      version: self.spread.catalog().version(),
+    };
+    out.frame(agent, &frame, packet);
+  }
+
+  fn frame(
+    &mut self,
+    now: Instant,
+    from: SocketAddrV4,
+    bytes: &[u8],
+    out: &mut Outbox,
+  ) -> Result<(), Code> {
+    let (frame, packet) = Frame::decode(bytes)?;
+    match frame {
+      Frame::Absent(flow) => self.absent(now, from, flow, packet, out),
+      Frame::Carry { .. } | Frame::Held { .. } => return Err(Code::FrameWrongTarget),
+      Frame::Found(flow) => self.found(now, from, flow),
+      Frame::News(news) => {
+        let change = self.spread.news(now, event::Origin::Peer(from), news, out);
+        self.changed(&change);
+      }
+      Frame::Opened(flow, load) => self.opened(now, from, flow, load),
+      Frame::Refused(flow, refusal, load) => {
+        self.refused(now, from, flow, refusal, load, out);
+      }
+      Frame::Status(status) => self.status(now, from, &status, out),
+    }
+    Ok(())
+  }
+
+  fn found(&mut self, now: Instant, from: SocketAddrV4, flow: Flow) {
+    if self.searches.remove(&flow).is_some() {
+      log::info!(flow:% = flow, at:% = from; "balancer: flow is found.");
+    }
+    self.flows.insert(
+      flow,
+      Place {
+        agent: from,
+        seen: now,
+        state: State::Open,
+      },
+    );
+  }
+
+  fn opened(&mut self, now: Instant, from: SocketAddrV4, flow: Flow, load: crate::datagram::Load) {
+    self.targets.loaded(now, from, load);
+    self.targets.opened(from);
+    if let Some(place) = self.flows.get_mut(&flow)
+      && matches!(place.state, State::Opening(_))
+    {
+      place.agent = from;
+      place.state = State::Open;
+    }
+  }
+
+  fn refused(
+    &mut self,
+    now: Instant,
+    from: SocketAddrV4,
+    flow: Flow,
+    refusal: Refusal,
+    load: crate::datagram::Load,
+    out: &mut Outbox,
+  ) {
+    log::info!(flow:% = flow, from:% = from, why:? = refusal; "balancer: flow is refused.");
+    self.targets.loaded(now, from, load);
+    if refusal != Refusal::Leaving {
+      self.targets.unanswered(now, from);
+    }
+    let here = self.flows.get(&flow);
+    if here.is_some_and(|place| place.agent == from && matches!(place.state, State::Opening(_))) {
+      self.place_next(now, flow, out);
+    }
+  }
+
+  fn status(&mut self, now: Instant, from: SocketAddrV4, status: &Status, out: &mut Outbox) {
+    self.spread.status(now, from, status);
+    let Role::Agent(load) = status.role else {
+      return;
+    };
+    if self.targets.status(now, from, status, load) {
+      self.remind(from, out);
+    }
+  }
+
+  /// An agent has started again: it is told which flows it had, as far as known here.
+  fn remind(&mut self, agent: SocketAddrV4, out: &mut Outbox) {
+    let there = self.flows.iter();
+    let there =
+      there.filter(|(_, place)| place.agent == agent && matches!(place.state, State::Open));
+    let flows = there.map(|(flow, _)| *flow).collect::<Vec<_>>();
+    log::info!(agent:% = agent, flows = flows.len(); "balancer: agent has started again.");
+    for part in flows.chunks(HELD_MAX) {
+      let frame = Frame::Held {
+        flows: part.to_vec(),
+        whole: false,
+      };
+      out.frame(agent, &frame, &[]);
+    }
+  }
+
+  fn changed(&mut self, change: &crate::datagram::Change) {
+    if !change.is_empty() {
+      self.targets.update(self.spread.catalog());
+    }
+  }
+
+  fn tick(&mut self, now: Instant, out: &mut Outbox) {
+    while let Some((deadline, flow)) = self.openings.front().copied() {
+      if deadline > now {
+        break;
+      }
+      self.openings.pop_front();
+      self.unanswered(now, deadline, flow, out);
+    }
+    while let Some((deadline, flow)) = self.searching.front().copied() {
+      if deadline > now {
+        break;
+      }
+      self.searching.pop_front();
+      self.search_over(now, deadline, flow, out);
+    }
+    if now >= self.expired + EXPIRE {
+      self.expired = now;
+      self.expire(now);
+    }
+    let agents = self.targets.agents();
+    self.spread.tick(now, Role::Balancer, &agents, out);
+  }
+
+  fn unanswered(&mut self, now: Instant, deadline: Instant, flow: Flow, out: &mut Outbox) {
+    let Some(place) = self.flows.get(&flow) else {
+      return;
+    };
+    let State::Opening(opening) = &place.state else {
+      return;
+    };
+    if opening.deadline != deadline {
+      return;
+    }
+    let agent = place.agent;
+    log::info!(flow:% = flow, agent:% = agent; "balancer: opening packet is unanswered.");
+    self.targets.unanswered(now, agent);
+    self.place_next(now, flow, out);
+  }
+
+  fn search_over(&mut self, now: Instant, deadline: Instant, flow: Flow, out: &mut Outbox) {
+    let search = self.searches.get(&flow);
+    if search.is_none_or(|search| search.deadline != deadline) {
+      return;
+    }
+    self.conclude(now, flow, out);
+    if let Some(search) = self.searches.remove(&flow) {
+      log::info!(flow:% = flow, silent:? = search.waiting; "balancer: search has no answer.");
+    }
+  }
+
+  fn expire(&mut self, now: Instant) {
+    let idle = self.spread.catalog().configuration();
+    let idle = idle.map_or(self.tuning.idle, |held| {
+      held.idle.max(Duration::from_secs(1))
+    });
+    let dead = self.tuning.dead;
+    self.flows.retain(|_, place| {
+      let kept = if matches!(place.state, State::Dead) {
+        dead
+      } else {
+        idle
+      };
+      now.saturating_duration_since(place.seen) < kept
+    });
+    self.spread.expire(now);
+    self.targets.update(self.spread.catalog());
+  }
+}
+
+impl<C: Codec> event::Machine for Machine<C> {
+  fn step(&mut self, now: Instant, event: Event, out: &mut Outbox) {
+    let result = match event {
+      Event::Frame { from, bytes } => self.frame(now, from, bytes, out),
+      Event::News(origin, news) => {
+        let change = self.spread.news(now, origin, news, out);
+        self.changed(&change);
+        Ok(())
+      }
+      Event::Packet(packet) => self.packet(now, packet, out),
+      Event::Stop => {
+        self.spread.stop(now);
+        Ok(())
+      }
+      Event::Tick => {
+        self.tick(now, out);
+        Ok(())
+      }
+      Event::Unreachable(peer) => {
+        self.spread.unreachable(peer);
+        Ok(())
+      }
+    };
+    if let Err(code) = result {
+      self.counter.count(code);
+    }
+  }
+
+  fn deadline(&self) -> Instant {
+    let opening = self.openings.front().map(|(deadline, _)| *deadline);
+    let search = self.searching.front().map(|(deadline, _)| *deadline);
+    let status = self.spread.deadline();
+    [opening, search]
+      .into_iter()
+      .flatten()
+      .fold(status, Instant::min)
+  }
+
+  fn spread(&mut self) -> &mut Spread {
+    &mut self.spread
+  }
+}
--- /dev/null
+++ b/src/datagram/balancer/place.rs
@@ -0,0 +1,40 @@
+use {
+  smallvec::SmallVec,
+  std::{net::SocketAddrV4, time::Instant},
+};
+
+/// The agents that an opening packet was sent to.
+pub type Tried = SmallVec<[SocketAddrV4; 4]>;
+
+/// Where a flow is.
+#[derive(Clone, Debug)]
+pub struct Place {
+  /// The agent of its target.
+  pub agent: SocketAddrV4,
+  /// When its last packet came.
+  pub seen: Instant,
+  /// How far it is.
+  pub state: State,
+}
+
+/// How far a flow is.
+#[derive(Clone, Debug)]
+pub enum State {
+  /// The opening packet is under way.
+  Opening(Opening),
+  /// Its target has it, as far as known.
+  Open,
+  /// It is nowhere, and its caller was told.
+  Dead,
+}
+
+/// An opening packet that no target has answered yet.
+#[derive(Clone, Debug)]
+pub struct Opening {
+  /// When the next target is asked.
+  pub deadline: Instant,
+  /// The packet.
+  pub packet: SmallVec<[u8; 40]>,
+  /// Who was asked.
+  pub tried: Tried,
+}
--- /dev/null
+++ b/src/datagram/balancer/search.rs
@@ -0,0 +1,17 @@
+use {
+  smallvec::SmallVec,
+  std::{net::SocketAddrV4, time::Instant},
+};
+
+/// A flow that is being looked for.
+#[derive(Clone, Debug)]
+pub struct Search {
+  /// What the caller last acknowledged.
+  pub acknowledges: u32,
+  /// When the answers that came have to do.
+  pub deadline: Instant,
+  /// How many packets were copied to all.
+  pub packets: u8,
+  /// Who has not answered.
+  pub waiting: SmallVec<[SocketAddrV4; 12]>,
+}
--- /dev/null
+++ b/src/datagram/balancer/targets.rs
@@ -0,0 +1,261 @@
+use {
+  super::place::Tried,
+  crate::{
+    config::Presence,
+    datagram::{Catalog, Entry, Load, Service, Tuning, frame::Status},
+  },
+  std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+  },
+};
+
+/// How long a target that did not answer an opening packet is passed over, if its agent is heard
+/// of. It is tried again after that; the packet then goes on to the next after `open_wait`.
+const DOWN: Duration = Duration::from_secs(1);
+
+/// How long entries that left the list may still be given flows where nothing else is listed: the
+/// platform may have dropped them while it was away, and takes two seconds to list them again.
+const LAPSED: Duration = Duration::from_secs(2);
+
+/// A cost above any wait, in milliseconds: for targets that most likely do not serve.
+const UNLIKELY_MS: f64 = 10_000.0;
+
+/// The wait that a request is assumed to add where a target has not told, in milliseconds.
+const SERVICE_MS: f64 = 40.0;
+
+/// What makes the less busy of two targets the better one before anything waits, in milliseconds
+/// at full use.
+const USE_MS: f64 = 12.0;
+
+/// A target as a balancer sees it, by the address of its agent.
+#[derive(Clone, Debug)]
+pub struct Seen {
+  /// The data centre that it stands in.
+  pub data_centre: String,
+  /// When its entry left the list.
+  pub gone: Option<Instant>,
+  heard: Option<Instant>,
+  incarnation: Option<u32>,
+  load: Load,
+  /// Opening packets sent there that its load does not count yet.
+  pending: u16,
+  presence: Presence,
+  service: Service,
+  slots: u16,
+  stopping: bool,
+  /// Since when an opening packet is unanswered.
+  unanswered: Option<Instant>,
+}
+
+impl Seen {
+  fn new(entry: &Entry) -> Self {
+    Self {
+      data_centre: String::new(),
+      gone: None,
+      heard: None,
+      incarnation: None,
+      load: Load::default(),
+      pending: 0,
+      presence: entry.target.presence,
+      service: entry.target.service.clone(),
+      slots: 1,
+      stopping: false,
+      unanswered: None,
+    }
+  }
+
+  fn updated(mut self, entry: &Entry) -> Self {
+    if self.gone.is_some() && entry.gone.is_none() {
+      self.unanswered = None;
+    }
+    self.data_centre.clone_from(&entry.target.data_centre);
+    self.gone = entry.gone;
+    self.presence = entry.target.presence;
+    self.service = entry.target.service.clone();
+    self.slots = entry.target.slots.max(1);
+    self
+  }
+}
+
+/// The targets that a balancer knows.
+#[derive(Debug)]
+pub struct Targets {
+  by_agent: HashMap<SocketAddrV4, Seen>,
+  data_centre: String,
+  port: u16,
+  services: BTreeMap<Service, Vec<SocketAddrV4>>,
+  tuning: Tuning,
+}
+
+impl Targets {
+  /// No targets; `data_centre` is the balancer's own, `port` the one that agents listen at.
+  pub fn new(data_centre: String, port: u16, tuning: Tuning) -> Self {
+    Self {
+      by_agent: HashMap::new(),
+      data_centre,
+      port,
+      services: BTreeMap::new(),
+      tuning,
+    }
+  }
+
+  /// The agents of all listed targets.
+  pub fn agents(&self) -> Vec<SocketAddrV4> {
+    let listed = self.by_agent.iter();
+    let listed = listed.filter(|(_, seen)| seen.gone.is_none());
+    listed.map(|(agent, _)| *agent).collect()
+  }
+
+  /// The target for a new flow: the one where it waits the least, for whoever is near first.
+  pub fn choose(&self, now: Instant, service: &Service, tried: &Tried) -> Option<SocketAddrV4> {
+    let agents = self.services.get(service)?.iter();
+    let open = agents.filter(|agent| !tried.contains(agent));
+    let costs = open.filter_map(|agent| {
+      let seen = self.by_agent.get(agent)?;
+      if seen.service != *service {
+        return None;
+      }
+      let cost = self.cost(now, seen)?;
+      Some((cost, agent))
+    });
+    costs
+      .min_by(|one, other| one.0.total_cmp(&other.0))
+      .map(|(_, agent)| *agent)
+  }
+
+  /// What is known of the target at an agent.
+  pub fn get(&self, agent: SocketAddrV4) -> Option<&Seen> {
+    self.by_agent.get(&agent)
+  }
+
+  /// The agents that may have a flow of a service: those of listed targets and of past ones.
+  pub fn holders(&self, service: &Service) -> &[SocketAddrV4] {
+    self.services.get(service).map_or(&[], Vec::as_slice)
+  }
+
+  /// Whether an agent's silence has lasted, and its target has left the list: nothing is there.
+  pub fn is_lost(&self, now: Instant, agent: SocketAddrV4) -> bool {
+    let Some(seen) = self.by_agent.get(&agent) else {
+      return true;
+    };
+    let gone = seen
+      .gone
+      .is_some_and(|gone| now.saturating_duration_since(gone) >= LAPSED);
+    gone && !self.is_heard(now, seen)
+  }
+
+  /// A frame with the load of a target came.
+  pub fn loaded(&mut self, now: Instant, agent: SocketAddrV4, load: Load) {
+    if let Some(seen) = self.by_agent.get_mut(&agent) {
+      seen.heard = Some(now);
+      seen.load = load;
+      seen.pending = 0;
+    }
+  }
+
+  /// An opening packet was sent.
+  pub fn placed(&mut self, agent: SocketAddrV4) {
+    if let Some(seen) = self.by_agent.get_mut(&agent) {
+      seen.pending = seen.pending.saturating_add(1);
+    }
+  }
+
+  /// The target answered an opening packet.
+  pub fn opened(&mut self, agent: SocketAddrV4) {
+    if let Some(seen) = self.by_agent.get_mut(&agent) {
+      seen.unanswered = None;
+    }
+  }
+
+  /// An agent told of itself; true when it has started again since its last word.
+  pub fn status(&mut self, now: Instant, agent: SocketAddrV4, status: &Status, load: Load) -> bool {
+    let Some(seen) = self.by_agent.get_mut(&agent) else {
+      return false;
+    };
+    let before = seen.incarnation.replace(status.incarnation);
+    let restarted = before.is_some_and(|before| before != status.incarnation);
+    seen.stopping = status.stopping;
+    if restarted {
+      seen.unanswered = None;
+    }
+    self.loaded(now, agent, load);
+    restarted
+  }
+
+  /// An opening packet was not answered in time.
+  pub fn unanswered(&mut self, now: Instant, agent: SocketAddrV4) {
+    if let Some(seen) = self.by_agent.get_mut(&agent) {
+      seen.unanswered = Some(now);
+    }
+  }
+
+  /// Takes the list as it is now.
+  pub fn update(&mut self, catalog: &Catalog) {
+    let mut before = std::mem::take(&mut self.by_agent);
+    self.services.clear();
+    let mut newest: HashMap<SocketAddrV4, &Entry> = HashMap::new();
+    for (_, entry) in catalog.entries() {
+      let agent = SocketAddrV4::new(*entry.target.address.ip(), self.port);
+      let service = entry.target.service.clone();
+      let agents = self.services.entry(service).or_default();
+      if !agents.contains(&agent) {
+        agents.push(agent);
+      }
+      let age = |entry: &Entry| (entry.gone.is_none(), entry.revision);
+      let held = newest.entry(agent).or_insert(entry);
+      if age(held) < age(entry) {
+        *held = entry;
+      }
+    }
+    for (agent, entry) in newest {
+      let seen = before.remove(&agent).unwrap_or_else(|| Seen::new(entry));
+      self.by_agent.insert(agent, seen.updated(entry));
+    }
+  }
+
+  /// What a new flow costs there, in milliseconds; none where it may not go.
+  fn cost(&self, now: Instant, seen: &Seen) -> Option<f64> {
+    if seen.presence == Presence::Leaving {
+      return None;
+    }
+    let mut cost = 0.0;
+    if let Some(gone) = seen.gone {
+      if now.saturating_duration_since(gone) >= LAPSED {
+        return None;
+      }
+      cost += 4.0 * UNLIKELY_MS;
+    }
+    let recently = |at: Instant| now.saturating_duration_since(at) < DOWN;
+    if seen.load.down || seen.unanswered.is_some_and(recently) {
+      cost += 2.0 * UNLIKELY_MS;
+    }
+    if seen.stopping || !self.is_heard(now, seen) {
+      cost += UNLIKELY_MS;
+    }
+    if seen.data_centre != self.data_centre {
+      let (always, by_kilobyte) = self.tuning.crossing;
+      cost += always + by_kilobyte * f64::from(seen.load.bytes) / 1024.0;
+    }
+    Some(cost + wait(seen))
+  }
+
+  fn is_heard(&self, now: Instant, seen: &Seen) -> bool {
+    seen
+      .heard
+      .is_some_and(|heard| now.saturating_duration_since(heard) < self.tuning.silent)
+  }
+}
+
+/// The time until a request more would be answered there, in milliseconds.
+fn wait(seen: &Seen) -> f64 {
+  let slots = f64::from(seen.slots);
+  let service = match seen.load.service_ms {
+    0 => SERVICE_MS,
+    ms => f64::from(ms),
+  };
+  let work = f64::from(seen.load.work) + f64::from(seen.pending);
+  let queue = (work + 1.0 - slots).max(0.0);
+  service + queue * service / slots + USE_MS * work / slots
+}
--- /dev/null
+++ b/src/datagram/catalog.rs
@@ -0,0 +1,220 @@
+use {
+  super::{Configuration, News, Record, Service, Target, target},
+  crate::Revision,
+  std::{
+    collections::{BTreeMap, HashSet},
+    net::SocketAddrV4,
+    sync::Arc,
+    time::{Duration, Instant},
+  },
+};
+
+/// How long a target that has left the list is remembered. Its flows may live for as long.
+const GONE_KEPT: Duration = Duration::from_secs(75);
+
+/// A target, or what is remembered of it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+  /// When it left the list, if it did.
+  pub gone: Option<Instant>,
+  /// The revision of the last word of it.
+  pub revision: Revision,
+  /// What the list says, or last said.
+  pub target: Arc<Target>,
+}
+
+/// What a process knows of the platform: the configuration in force and the list of targets. It
+/// never goes back to an older record, whoever offers it.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+  complete: Revision,
+  configuration: Option<(Revision, Arc<Configuration>)>,
+  targets: BTreeMap<target::Id, Entry>,
+}
+
+/// What news changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Change {
+  /// Whether a configuration came into force.
+  pub configuration: bool,
+  /// The targets whose entry changed.
+  pub targets: Vec<target::Id>,
+}
+
+impl Change {
+  /// Whether nothing changed.
+  pub fn is_empty(&self) -> bool {
+    !self.configuration && self.targets.is_empty()
+  }
+}
+
+impl Catalog {
+  /// The revision up to which nothing is missing.
+  pub fn complete(&self) -> Revision {
+    self.complete
+  }
+
+  /// The configuration in force.
+  pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+    self.configuration.as_ref().map(|(_, held)| held)
+  }
+
+  /// All targets, those that have left the list among them.
+  pub fn entries(&self) -> impl Iterator<Item = (&target::Id, &Entry)> {
+    self.targets.iter()
+  }
+
+  /// The entry of a target.
+  pub fn get(&self, id: &target::Id) -> Option<&Entry> {
+    self.targets.get(id)
+  }
+
+  /// The newest run at an address that the list holds, else the newest that it held.
+  pub fn at(&self, address: SocketAddrV4) -> Option<(&target::Id, &Entry)> {
+    let here = self.targets.iter();
+    here
+      .filter(|(_, entry)| entry.target.address == address)
+      .max_by_key(|(_, entry)| (entry.gone.is_none(), entry.revision))
+  }
+
+  /// Forgets targets that left long ago.
+  pub fn expire(&mut self, now: Instant) {
+    self.targets.retain(|_, entry| {
+      entry
+        .gone
+        .is_none_or(|gone| now.duration_since(gone) < GONE_KEPT)
+    });
+  }
+
+  /// Takes news; older records change nothing.
+  pub fn offer(&mut self, now: Instant, news: News) -> Change {
+    let mut change = Change::default();
+    // A whole list from before what is known would drop targets that came since.
+    let whole = news.after.is_none() && news.to >= self.complete;
+    let listed = whole.then(|| listed(&news));
+    for record in news.records {
+      self.take(now, record, &mut change);
+    }
+    if let Some(listed) = listed {
+      self.drop_unlisted(now, news.to, &listed, &mut change);
+    }
+    if news.after.is_none_or(|after| after <= self.complete) {
+      self.complete = self.complete.max(news.to);
+    }
+    change
+  }
+
+  /// The service behind an address, as far as known.
+  pub fn service(&self, route: &SocketAddrV4) -> Option<&Service> {
+    self.configuration()?.routes.get(route)
+  }
+
+  /// What came after a revision.
+  pub fn since(&self, after: Revision) -> News {
+    let configuration = self.configuration.iter();
+    let configuration = configuration.filter(|(revision, _)| *revision > after);
+    let configuration = configuration.map(|(revision, held)| Record::Configuration {
+      configuration: held.as_ref().clone(),
+      revision: *revision,
+    });
+    let targets = self.targets.iter();
+    let targets = targets.filter(|(_, entry)| entry.revision > after);
+    let targets = targets.map(|(id, entry)| Record::Target {
+      id: id.clone(),
+      revision: entry.revision,
+      target: entry.gone.is_none().then(|| entry.target.as_ref().clone()),
+    });
+    News {
+      after: Some(after),
+      records: configuration.chain(targets).collect(),
+      to: self.complete,
+    }
+  }
+
+  /// The version in force.
+  pub fn version(&self) -> super::Version {
+    self
+      .configuration()
+      .map(|held| held.version)
+      .unwrap_or_default()
+  }
+
+  fn take(&mut self, now: Instant, record: Record, change: &mut Change) {
+    match record {
+      Record::Configuration {
+        configuration,
+        revision,
+      } => {
+        let newer = self
+          .configuration
+          .as_ref()
+          .is_none_or(|(held, known)| *held < revision && known.version < configuration.version);
+        if newer {
+          self.configuration = Some((revision, Arc::new(configuration)));
+          change.configuration = true;
+        }
+      }
+      Record::Target {
+        id,
+        revision,
+        target,
+      } => self.take_target(now, id, revision, target, change),
+    }
+  }
+
+  fn take_target(
+    &mut self,
+    now: Instant,
+    id: target::Id,
+    revision: Revision,
+    target: Option<Target>,
+    change: &mut Change,
+  ) {
+    let known = self.targets.get(&id);
+    if known.is_some_and(|entry| entry.revision >= revision) {
+      return;
+    }
+    let entry = match (target, known) {
+      (Some(target), _) => Entry {
+        gone: None,
+        revision,
+        target: Arc::new(target),
+      },
+      (None, Some(entry)) => Entry {
+        gone: Some(entry.gone.unwrap_or(now)),
+        revision,
+        target: Arc::clone(&entry.target),
+      },
+      (None, None) => return,
+    };
+    self.targets.insert(id.clone(), entry);
+    change.targets.push(id);
+  }
+
+  /// What a whole list no longer names has left it.
+  fn drop_unlisted(
+    &mut self,
+    now: Instant,
+    to: Revision,
+    listed: &HashSet<target::Id>,
+    change: &mut Change,
+  ) {
+    for (id, entry) in &mut self.targets {
+      if entry.gone.is_none() && entry.revision < to && !listed.contains(id) {
+        entry.gone = Some(now);
+        entry.revision = to;
+        change.targets.push(id.clone());
+      }
+    }
+  }
+}
+
+fn listed(news: &News) -> HashSet<target::Id> {
+  let records = news.records.iter();
+  records
+    .filter_map(|record| match record {
+      Record::Target { id, .. } => Some(id.clone()),
+      Record::Configuration { .. } => None,
+    })
+    .collect()
+}
--- /dev/null
+++ b/src/datagram/codec.rs
@@ -0,0 +1,19 @@
+use {
+  super::{Flow, Head},
+  crate::Code,
+};
+
+/// How the packets of the flows look. The system never changes what an upstream or a caller reads.
+pub trait Codec: Clone + Send + 'static {
+  /// Reads a packet on its way to an upstream.
+  fn read_from_caller(&self, packet: &[u8]) -> Result<Head, Code>;
+
+  /// Reads a packet that an upstream wrote, or sent back.
+  fn read_from_upstream(&self, packet: &[u8]) -> Result<Head, Code>;
+
+  /// Makes a packet that an upstream sent back what its caller wrote.
+  fn restore(&self, packet: &mut [u8]);
+
+  /// Writes the packet that breaks off a flow for its caller, who last acknowledged `acknowledges`.
+  fn write_reset(&self, flow: &Flow, acknowledges: u32, out: &mut Vec<u8>);
+}
--- /dev/null
+++ b/src/datagram/configuration.rs
@@ -0,0 +1,44 @@
+use {
+  crate::datagram::Service,
+  serde::{Deserialize, Serialize},
+  std::{
+    collections::BTreeMap,
+    fmt::{self, Display, Formatter},
+    net::SocketAddrV4,
+    str::FromStr,
+    time::Duration,
+  },
+};
+
+/// The operator's count of configurations, which rises in uneven steps.
+#[derive(
+  Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
+impl Display for Version {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    self.0.fmt(f)
+  }
+}
+
+impl FromStr for Version {
+  type Err = std::num::ParseIntError;
+
+  fn from_str(text: &str) -> Result<Self, Self::Err> {
+    text.parse().map(Self)
+  }
+}
+
+/// What the operator wants: where the flows to each address go.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Configuration {
+  /// After how much rest a flow may be forgotten.
+  pub idle: Duration,
+  /// The service behind each address that callers reach.
+  pub routes: BTreeMap<SocketAddrV4, Service>,
+  /// The operator's count.
+  pub version: Version,
+}
--- /dev/null
+++ b/src/datagram/frame.rs
@@ -0,0 +1,116 @@
+use {
+  super::{Flow, Load, News, Version},
+  crate::{Code, Revision},
+  serde::{Deserialize, Serialize},
+  std::net::SocketAddrV4,
+};
+
+/// The first byte of a frame: the version of the layout.
+const VERSION: u8 = 0xd1;
+
+/// The largest frame that is sent with news in it, in bytes: it fits a common datagram.
+pub const NEWS_MAX: usize = 1200;
+
+/// What a balancer asks of an agent with a caller's packet.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Purpose {
+  /// The flow is known to be there.
+  Deliver,
+  /// Open the flow.
+  Open,
+  /// Take the packet only if the flow is there, and say whether it is.
+  Search,
+}
+
+/// Why an agent did not have a flow opened.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Refusal {
+  /// The upstream sent the packet back.
+  Full,
+  /// The upstream is leaving.
+  Leaving,
+  /// The agent is of another service.
+  Service,
+  /// The upstream's process is gone.
+  Down,
+}
+
+/// What a process is.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Role {
+  /// It stands beside an upstream.
+  Agent(Load),
+  /// It takes callers' packets.
+  Balancer,
+}
+
+/// What processes tell each other of themselves, regularly and with each change.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Status {
+  /// The revision up to which its catalog is complete.
+  pub complete: Revision,
+  /// How long ago the platform confirmed that, in milliseconds, as far as this process heard.
+  pub confirmed_ms: Option<u32>,
+  /// Balancers that it hears of.
+  pub balancers: Vec<SocketAddrV4>,
+  /// This run of the process.
+  pub incarnation: u32,
+  /// What it is.
+  pub role: Role,
+  /// Whether it is about to stop.
+  pub stopping: bool,
+}
+
+/// What passes between the processes in datagrams. A packet may follow.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Frame {
+  /// The agent does not have the flow, for certain. The packet follows where it was sent to be
+  /// delivered.
+  Absent(Flow),
+  /// A caller's packet, which follows.
+  Carry {
+    /// What is asked.
+    purpose: Purpose,
+    /// The digest of the service's name.
+    service: u64,
+    /// The configuration that the sender acts on.
+    version: Version,
+  },
+  /// The agent has the flow.
+  Found(Flow),
+  /// Flows that the sender believes the receiver to have, after the receiver has started again;
+  /// `whole` where these are all, by the receiver's own last word.
+  Held {
+    /// The flows.
+    flows: Vec<Flow>,
+    /// Whether the list is complete.
+    whole: bool,
+  },
+  /// What changed on the platform.
+  News(News),
+  /// The upstream took the opening packet.
+  Opened(Flow, Load),
+  /// The upstream did not take the opening packet, which follows.
+  Refused(Flow, Refusal, Load),
+  /// What the sender is and knows.
+  Status(Status),
+}
+
+impl Frame {
+  /// Reads a frame and returns it with the packet that follows.
+  pub fn decode(bytes: &[u8]) -> Result<(Self, &[u8]), Code> {
+    match bytes.split_first() {
+      None => Err(Code::FrameTruncated),
+      Some((&VERSION, body)) => postcard::take_from_bytes(body).map_err(|_| Code::FrameTruncated),
+      Some(_) => Err(Code::FrameVersionUnknown),
+    }
+  }
+
+  /// Appends the frame to `out`.
+  pub fn encode(&self, out: &mut Vec<u8>) {
+    out.push(VERSION);
+    let room = std::mem::take(out);
+    // Growing a vector cannot fail, and every type here can be written.
+    *out = postcard::to_extend(self, room).expect("frame is written");
+  }
+}
--- /dev/null
+++ b/src/datagram/node/control.rs
@@ -0,0 +1,169 @@
+use {
+  super::{
+    shared::{Message, Question, Shared},
+    source::Source,
+  },
+  crate::{
+    Code, Revision,
+    code::Fault,
+    datagram::{News, Origin, Settings},
+    web,
+  },
+  bytes::Bytes,
+  http::{Method, Request, Response, StatusCode},
+  http_body_util::Full,
+  hyper::body::Incoming,
+  std::{
+    net::SocketAddrV4,
+    sync::Arc,
+    time::{Duration, Instant},
+  },
+  tokio::sync::mpsc,
+};
+
+/// How long a watch waits for something to change. The word of a reader counts as fresh for about
+/// as long.
+const WATCH: Duration = Duration::from_millis(1500);
+
+/// The waits after failures: the first, and the longest.
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
+
+/// How long a peer may take to answer a question.
+const ANSWER: Duration = Duration::from_millis(400);
+
+/// The path where peers ask for news.
+const NEWS: &str = "/v1/news";
+
+/// Asks the platform and peers, and answers peers, the platform and operators, until the process
+/// ends.
+pub fn run<S: Source>(
+  settings: &Settings,
+  source: &S,
+  shared: &Arc<Shared>,
+  questions: mpsc::UnboundedReceiver<Question>,
+) -> Result<(), Fault> {
+  let runtime = tokio::runtime::Builder::new_current_thread()
+    .enable_all()
+    .build()
+    .map_err(|error| Fault::new(Code::ChildFailed, error))?;
+  runtime.block_on(async {
+    let reads = read(source.clone(), Arc::clone(shared));
+    let asks = ask(questions, Arc::clone(shared));
+    let path = source.readiness_path();
+    let readiness = serve(settings.readiness, Arc::clone(shared), path);
+    let peers = serve(settings.peers, Arc::clone(shared), path);
+    let ((), (), readiness, peers) = tokio::join!(reads, asks, readiness, peers);
+    readiness.and(peers)
+  })
+}
+
+/// Reads the platform while that is this process's part.
+async fn read<S: Source>(source: S, shared: Arc<Shared>) {
+  let mut reading = shared.reading.subscribe();
+  let mut back_off = BACK_OFF.0;
+  let mut lost: Option<Instant> = None;
+  let mut whole = true;
+  loop {
+    if reading.wait_for(|reading| reading.wanted).await.is_err() {
+      return;
+    }
+    let after = reading.borrow().after;
+    let answer = match after {
+      Some(after) if !whole => source.watch(after, WATCH).await,
+      _ => source.read().await.map(Some),
+    };
+    match answer {
+      Ok(news) => {
+        whole = news.is_none();
+        if let Some(since) = lost.take() {
+          log::info!(after:? = since.elapsed(); "control: platform answers again.");
+        }
+        back_off = BACK_OFF.0;
+        if let Some(news) = news {
+          shared.tell(Message::News(Origin::Platform, news));
+        } else {
+          log::info!("control: platform has forgotten its history and is read whole.");
+        }
+        // The packet thread publishes where the next watch begins.
+        tokio::task::yield_now().await;
+      }
+      Err(fault) => {
+        shared.counter.count(fault.code);
+        if lost.is_none() {
+          log::warn!(fault:% = fault; "control: platform does not answer.");
+          lost = Some(Instant::now());
+        }
+        tokio::time::sleep(back_off).await;
+        back_off = (back_off * 2).min(BACK_OFF.1);
+      }
+    }
+  }
+}
+
+/// Asks peers for what they know.
+async fn ask(mut questions: mpsc::UnboundedReceiver<Question>, shared: Arc<Shared>) {
+  while let Some(question) = questions.recv().await {
+    let shared = Arc::clone(&shared);
+    tokio::spawn(async move {
+      match news(question.peer, question.after).await {
+        Ok(news) => shared.tell(Message::News(Origin::Peer(question.peer), news)),
+        Err(fault) => {
+          shared.counter.count(Code::PeerUnreachable);
+          log::info!(peer:% = question.peer, fault:% = fault; "control: peer does not answer.");
+          shared.tell(Message::Unreachable(question.peer));
+        }
+      }
+    });
+  }
+}
+
+async fn news(peer: SocketAddrV4, after: Revision) -> Result<News, Fault> {
+  let path = format!("{NEWS}?after={after}");
+  let (status, body) = web::request(peer.into(), Method::GET, &path, "", ANSWER).await?;
+  if status != StatusCode::OK {
+    return Err(Fault::new(
+      Code::PeerUnreachable,
+      format!("{peer}: status {status}"),
+    ));
+  }
+  postcard::from_bytes(&body)
+    .map_err(|error| Fault::new(Code::FrameTruncated, format!("{peer}: {error}")))
+}
+
+async fn serve(
+  address: SocketAddrV4,
+  shared: Arc<Shared>,
+  readiness: &'static str,
+) -> Result<(), Fault> {
+  web::serve(address.into(), move |request| {
+    let answer = answer(&request, &shared, readiness);
+    async move { answer }
+  })
+  .await
+}
+
+fn answer(request: &Request<Incoming>, shared: &Shared, readiness: &str) -> Response<Full<Bytes>> {
+  let path = request.uri().path();
+  if request.method() != Method::GET {
+    return web::answer(StatusCode::METHOD_NOT_ALLOWED, "");
+  }
+  if path == readiness {
+    let status = if shared.is_ready() {
+      StatusCode::OK
+    } else {
+      StatusCode::SERVICE_UNAVAILABLE
+    };
+    return web::answer(status, "");
+  }
+  if path != NEWS {
+    return web::answer(StatusCode::NOT_FOUND, "");
+  }
+  let after = web::parameter(request.uri().query(), "after");
+  let Some(after) = after.and_then(|after| after.parse().ok()) else {
+    return web::answer(StatusCode::BAD_REQUEST, "expected `after`, a revision");
+  };
+  match postcard::to_allocvec(&shared.catalog().since(after)) {
+    Ok(body) => web::answer(StatusCode::OK, body),
+    Err(error) => web::answer(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+  }
+}
--- /dev/null
+++ b/src/datagram/settings.rs
@@ -0,0 +1,137 @@
+use {
+  super::Service,
+  crate::{
+    code::{Code, Fault},
+    logging,
+  },
+  serde::{Deserialize, Serialize},
+  std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+  },
+};
+
+/// What an instance is, and where it listens. The same for both roles.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+  /// Where the metrics and the state are served (TCP).
+  pub api: SocketAddrV4,
+  /// Where callers' packets arrive (UDP). Callers take packets at this port too.
+  pub callers: SocketAddrV4,
+  /// The data centre that it stands in.
+  pub data_centre: String,
+  /// Whether the whole system starts for the first time, so that no flow can be older.
+  pub first_start: bool,
+  /// How it logs.
+  pub log: logging::Settings,
+  /// Where frames (UDP) and questions (TCP) of peers arrive; the port is the same everywhere.
+  pub peers: SocketAddrV4,
+  /// The platform's store (TCP).
+  pub platform: SocketAddrV4,
+  /// Where it is asked whether it is ready (TCP).
+  pub readiness: SocketAddrV4,
+  /// Some balancers, by the address where their peers reach them.
+  pub seeds: Vec<SocketAddrV4>,
+  /// What an agent stands beside; none at a balancer.
+  pub upstream: Option<Upstream>,
+}
+
+/// The upstream beside an agent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Upstream {
+  /// Where it takes packets (UDP).
+  pub address: SocketAddrV4,
+  /// Where its own packets arrive (UDP).
+  pub outbound: SocketAddrV4,
+  /// The service that it serves.
+  pub service: Service,
+}
+
+impl Default for Settings {
+  fn default() -> Self {
+    let local = |port| SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+    Self {
+      api: local(7402),
+      callers: local(4400),
+      data_centre: "default".into(),
+      first_start: false,
+      log: logging::Settings::default(),
+      peers: local(7400),
+      platform: local(7000),
+      readiness: local(7401),
+      seeds: Vec::new(),
+      upstream: None,
+    }
+  }
+}
+
+impl Settings {
+  /// Checks what the types alone do not.
+  pub fn check(&self) -> Result<(), Fault> {
+    if self.peers.port() == 0 || self.callers.port() == 0 {
+      return Err(Fault::new(
+        Code::SettingsInvalid,
+        "found port 0 in `peers` or `callers`, expected the port that all instances share",
+      ));
+    }
+    Ok(())
+  }
+}
+
+/// The bounds and times of the decisions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tuning {
+  /// How long after a start an agent may meet flows that it does not know: a flow's longest life.
+  pub amnesia: Duration,
+  /// What it costs, in milliseconds of waiting, to leave the data centre: always, and for each
+  /// kilobyte of a request and its answer. Traffic between data centres has a price.
+  pub crossing: (f64, f64),
+  /// How long a flow that was reset is remembered.
+  pub dead: Duration,
+  /// How many flows are remembered.
+  pub flows_max: usize,
+  /// How long a flow without packets is remembered where the configuration does not say.
+  pub idle: Duration,
+  /// How long a target may take for an opening packet before another is asked. Targets answer
+  /// within a millisecond; a round trip between data centres takes three.
+  pub open_wait: Duration,
+  /// How many balancers read from the platform.
+  pub readers: usize,
+  /// How often load is told at most.
+  pub report: Duration,
+  /// How long a search waits for answers.
+  pub search: Duration,
+  /// How many packets of a flow are copied to all while it is searched for.
+  pub search_packets: u8,
+  /// A process that was not heard of for so long is passed over.
+  pub silent: Duration,
+  /// How often a process tells of itself at least.
+  pub status: Duration,
+  /// A balancer reads itself once nobody's word of the platform is younger.
+  pub takeover: Duration,
+  /// How long an agent waits for an upstream to send back a packet that it may not hold.
+  pub test: Duration,
+}
+
+impl Default for Tuning {
+  fn default() -> Self {
+    Self {
+      amnesia: Duration::from_mins(1),
+      crossing: (10.0, 8.0),
+      dead: Duration::from_secs(3),
+      flows_max: 200_000,
+      idle: Duration::from_mins(1),
+      open_wait: Duration::from_millis(40),
+      readers: 2,
+      report: Duration::from_millis(100),
+      search: Duration::from_millis(150),
+      search_packets: 20,
+      silent: Duration::from_millis(1500),
+      status: Duration::from_millis(500),
+      takeover: Duration::from_secs(2),
+      test: Duration::from_millis(30),
+    }
+  }
+}
--- /dev/null
+++ b/src/datagram/spread.rs
@@ -0,0 +1,331 @@
+use {
+  super::{
+    Catalog, Change, Frame, News, Outbox, Tuning,
+    event::Origin,
+    frame::{NEWS_MAX, Role, Status},
+  },
+  crate::Revision,
+  std::{
+    collections::HashMap,
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+  },
+  xxhash_rust::xxh3::xxh3_64,
+};
+
+/// How many balancers a status names.
+const NAMED_MAX: usize = 16;
+
+/// How long a balancer that is not heard of is still told, so that it finds its peers again when
+/// it comes back.
+const TOLD: Duration = Duration::from_mins(5);
+
+/// How often one that is not heard of is told.
+const TOLD_EVERY: Duration = Duration::from_secs(1);
+
+/// How long a question to a peer may take before another is asked.
+const PULL: Duration = Duration::from_millis(500);
+
+/// What is known of another process.
+#[derive(Clone, Debug)]
+struct Peer {
+  balancer: bool,
+  complete: Revision,
+  heard: Option<Instant>,
+  since: Instant,
+  stopping: bool,
+  told: Option<Instant>,
+}
+
+impl Peer {
+  fn new(now: Instant, balancer: bool) -> Self {
+    Self {
+      balancer,
+      complete: Revision::default(),
+      heard: None,
+      since: now,
+      stopping: false,
+      told: None,
+    }
+  }
+}
+
+/// Keeps the catalog and spreads it: a few balancers read the platform and push what is new; the
+/// others hear it, find by each status whether they are behind, and ask the sender.
+#[derive(Debug)]
+pub struct Spread {
+  address: SocketAddrV4,
+  catalog: Catalog,
+  confirmed: Option<Instant>,
+  /// Whether this process is a balancer.
+  balancer: bool,
+  incarnation: u32,
+  next: Instant,
+  peers: HashMap<SocketAddrV4, Peer>,
+  pull: Option<(SocketAddrV4, Instant)>,
+  stopping: bool,
+  tuning: Tuning,
+  version: u64,
+  wanted: Option<(SocketAddrV4, Revision)>,
+}
+
+impl Spread {
+  /// The spread of the process at `address`, which knows balancers at `seeds`.
+  pub fn new(
+    now: Instant,
+    address: SocketAddrV4,
+    balancer: bool,
+    incarnation: u32,
+    seeds: &[SocketAddrV4],
+    tuning: Tuning,
+  ) -> Self {
+    let others = seeds.iter().filter(|seed| **seed != address);
+    Self {
+      address,
+      balancer,
+      catalog: Catalog::default(),
+      confirmed: None,
+      incarnation,
+      next: now,
+      peers: others.map(|seed| (*seed, Peer::new(now, true))).collect(),
+      pull: None,
+      stopping: false,
+      tuning,
+      version: 0,
+      wanted: None,
+    }
+  }
+
+  /// Where peers reach this process.
+  pub fn address(&self) -> SocketAddrV4 {
+    self.address
+  }
+
+  /// What is known of the platform.
+  pub fn catalog(&self) -> &Catalog {
+    &self.catalog
+  }
+
+  /// How long ago the platform confirmed the catalog.
+  pub fn confirmed(&self, now: Instant) -> Option<Duration> {
+    self
+      .confirmed
+      .map(|confirmed| now.saturating_duration_since(confirmed))
+  }
+
+  /// The balancers that were heard of lately.
+  pub fn balancers(&self, now: Instant) -> Vec<SocketAddrV4> {
+    let live = self.peers.iter();
+    let live = live.filter(|(_, peer)| peer.balancer && self.is_heard(now, peer));
+    live.map(|(address, _)| *address).collect()
+  }
+
+  /// When a status is due.
+  pub fn deadline(&self) -> Instant {
+    self.next
+  }
+
+  /// Forgets what is long past.
+  pub fn expire(&mut self, now: Instant) {
+    self.catalog.expire(now);
+    self.peers.retain(|_, peer| {
+      let last = peer.heard.unwrap_or(peer.since);
+      now.saturating_duration_since(last) < TOLD
+    });
+  }
+
+  /// A frame came from a process.
+  pub fn heard(&mut self, now: Instant, from: SocketAddrV4, balancer: bool) {
+    let peer = self
+      .peers
+      .entry(from)
+      .or_insert_with(|| Peer::new(now, balancer));
+    let silent = peer
+      .heard
+      .is_none_or(|heard| now.saturating_duration_since(heard) >= self.tuning.silent);
+    peer.heard = Some(now);
+    if silent && balancer {
+      log::info!(peer:% = from; "spread: balancer is heard of.");
+    }
+  }
+
+  /// Whether this process is to read from the platform: the first few balancers by a hash that
+  /// all share, and each one that nobody's fresh word reaches.
+  pub fn is_reader(&self, now: Instant) -> bool {
+    if !self.balancer || self.stopping {
+      return false;
+    }
+    let own = rank(self.address);
+    let live = self.peers.iter();
+    let live = live.filter(|(_, peer)| peer.balancer && !peer.stopping && self.is_heard(now, peer));
+    let before = live.filter(|(address, _)| rank(**address) < own).count();
+    if before < self.tuning.readers {
+      return true;
+    }
+    let patience = self.tuning.takeover + Duration::from_millis(100) * before as u32;
+    self.confirmed(now).is_none_or(|age| age >= patience)
+  }
+
+  /// Takes news. What the platform said is pushed to everybody.
+  pub fn news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) -> Change {
+    let (after, to) = (self.catalog.complete(), news.to);
+    let missing = news.after.is_some_and(|from| from > after);
+    let change = self.catalog.offer(now, news);
+    if origin == Origin::Platform {
+      self.confirmed = Some(now);
+    } else {
+      self.pull = None;
+    }
+    if !change.is_empty() {
+      self.version += 1;
+      log::info!(
+        version:% = self.catalog.version(), revision:% = self.catalog.complete(),
+        origin:? = origin, targets = change.targets.len(), configuration = change.configuration;
+        "spread: news is in force."
+      );
+    }
+    if let (true, Origin::Peer(from)) = (missing, origin) {
+      self.want(now, from, to);
+    }
+    if origin == Origin::Platform && !change.is_empty() {
+      self.push(now, after, out);
+    }
+    change
+  }
+
+  /// A process told of itself.
+  pub fn status(&mut self, now: Instant, from: SocketAddrV4, status: &Status) {
+    let balancer = status.role == Role::Balancer;
+    self.heard(now, from, balancer);
+    for other in &status.balancers {
+      if *other != self.address && self.balancer {
+        self
+          .peers
+          .entry(*other)
+          .or_insert_with(|| Peer::new(now, true));
+      }
+    }
+    if let Some(peer) = self.peers.get_mut(&from) {
+      peer.balancer = balancer;
+      peer.complete = status.complete;
+      peer.stopping = status.stopping;
+    }
+    if status.complete > self.catalog.complete() {
+      self.want(now, from, status.complete);
+    } else if let Some(ms) = status.confirmed_ms {
+      let confirmed = now.checked_sub(Duration::from_millis(ms.into()));
+      self.confirmed = self.confirmed.max(confirmed);
+    }
+  }
+
+  /// The process is about to stop.
+  pub fn stop(&mut self, now: Instant) {
+    self.stopping = true;
+    self.next = now;
+  }
+
+  /// A peer that was asked could not be reached.
+  pub fn unreachable(&mut self, from: SocketAddrV4) {
+    if self.pull.is_some_and(|(asked, _)| asked == from) {
+      self.pull = None;
+    }
+  }
+
+  /// Tells of this process where that is due; `role` is what it is, `agents` further receivers.
+  pub fn tick(&mut self, now: Instant, role: Role, agents: &[SocketAddrV4], out: &mut Outbox) {
+    if now < self.next {
+      return;
+    }
+    self.next = now + self.tuning.status;
+    self.tell(now, role, agents, out);
+  }
+
+  /// Tells balancers of this process now, whether it is due or not.
+  pub fn tell_now(&mut self, now: Instant, role: Role, out: &mut Outbox) {
+    self.next = now + self.tuning.status;
+    self.tell(now, role, &[], out);
+  }
+
+  /// Tells of this process now.
+  pub fn tell(&mut self, now: Instant, role: Role, agents: &[SocketAddrV4], out: &mut Outbox) {
+    let frame = Frame::Status(self.own_status(now, role));
+    let silent = self.tuning.silent;
+    for (address, peer) in &mut self.peers {
+      let quiet = peer
+        .heard
+        .is_none_or(|heard| now.saturating_duration_since(heard) >= silent);
+      let told = peer
+        .told
+        .is_some_and(|told| now.saturating_duration_since(told) < TOLD_EVERY);
+      if !peer.balancer || (quiet && told) {
+        continue;
+      }
+      peer.told = Some(now);
+      out.frame(*address, &frame, &[]);
+    }
+    for agent in agents {
+      out.frame(*agent, &frame, &[]);
+    }
+  }
+
+  /// What is to be asked of whom, once.
+  pub fn take_wanted(&mut self) -> Option<(SocketAddrV4, Revision)> {
+    self.wanted.take()
+  }
+
+  /// A count that rises with each change of the catalog.
+  pub fn version(&self) -> u64 {
+    self.version
+  }
+
+  fn is_heard(&self, now: Instant, peer: &Peer) -> bool {
+    peer
+      .heard
+      .is_some_and(|heard| now.saturating_duration_since(heard) < self.tuning.silent)
+  }
+
+  fn own_status(&self, now: Instant, role: Role) -> Status {
+    let mut balancers = self.balancers(now);
+    balancers.truncate(NAMED_MAX);
+    Status {
+      balancers,
+      complete: self.catalog.complete(),
+      confirmed_ms: self.confirmed(now).map(|age| age.as_millis() as u32),
+      incarnation: self.incarnation,
+      role,
+      stopping: self.stopping,
+    }
+  }
+
+  /// Sends what came after a revision to all peers; where it is too large, a status tells them to
+  /// ask for it.
+  fn push(&mut self, now: Instant, after: Revision, out: &mut Outbox) {
+    let news = Frame::News(self.catalog.since(after));
+    let mut size = Vec::new();
+    news.encode(&mut size);
+    let frame = if size.len() <= NEWS_MAX {
+      news
+    } else {
+      Frame::Status(self.own_status(now, Role::Balancer))
+    };
+    for address in self.peers.keys() {
+      out.frame(*address, &frame, &[]);
+    }
+  }
+
+  fn want(&mut self, now: Instant, from: SocketAddrV4, revision: Revision) {
+    let busy = self
+      .pull
+      .is_some_and(|(_, since)| now.saturating_duration_since(since) < PULL);
+    if busy {
+      return;
+    }
+    log::debug!(peer:% = from, revision:% = revision; "spread: peer knows more and is asked.");
+    self.pull = Some((from, now));
+    self.wanted = Some((from, self.catalog.complete()));
+  }
+}
+
+fn rank(address: SocketAddrV4) -> u64 {
+  xxh3_64(&address.ip().octets())
+}
--- /dev/null
+++ b/src/datagram/target.rs
@@ -0,0 +1,59 @@
+use {
+  super::Service,
+  crate::config::Presence,
+  serde::{Deserialize, Serialize},
+  std::{
+    convert::Infallible,
+    fmt::{self, Display, Formatter},
+    net::SocketAddrV4,
+    str::FromStr,
+    sync::Arc,
+  },
+};
+
+/// The platform's name of one run of an upstream.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(from = "String", into = "String")]
+pub struct Id(Arc<str>);
+
+impl Display for Id {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    self.0.fmt(f)
+  }
+}
+
+impl From<Id> for String {
+  fn from(id: Id) -> Self {
+    id.0.as_ref().into()
+  }
+}
+
+impl From<String> for Id {
+  fn from(text: String) -> Self {
+    Self(text.into())
+  }
+}
+
+impl FromStr for Id {
+  type Err = Infallible;
+
+  fn from_str(text: &str) -> Result<Self, Infallible> {
+    Ok(Self(text.into()))
+  }
+}
+
+/// One run of an upstream, as the platform lists it. The list lags behind reality.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+  /// Where the upstream takes packets from its own instance.
+  pub address: SocketAddrV4,
+  /// The data centre that it stands in.
+  pub data_centre: String,
+  /// Whether it is live or leaving.
+  pub presence: Presence,
+  /// The service that it serves.
+  pub service: Service,
+  /// How many requests it works on at once.
+  pub slots: u16,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod control;
 pub mod counter;
+pub mod datagram;
 pub mod flow;
 pub mod id;
 pub mod ledger;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,15 +1,15 @@
-//! Logs on standard error, as text or JSON.
+//! Structured logs on standard output: one line of text or JSON each, never waited for.
+
+mod lines;
 
 use {
   crate::code::{Code, Fault},
-  logforth::{
-    append,
-    layout::{JsonLayout, TextLayout},
-    record::{Level, LevelFilter},
-  },
+  logforth::record::{Level, LevelFilter},
   serde::{Deserialize, Serialize},
 };
 
+pub use lines::{due, flush, flush_if_due};
+
 /// How a process logs.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -54,15 +54,10 @@
     }
   };
   let filter = LevelFilter::MoreSevereEqual(level);
-  let builder = logforth::starter_log::builder().dispatch(|dispatch| {
-    let dispatch = dispatch.filter(filter);
-    match settings.format {
-      Format::Json => dispatch.append(append::Stderr::default().with_layout(JsonLayout::default())),
-      Format::Text => {
-        dispatch.append(append::Stderr::default().with_layout(TextLayout::default().no_color()))
-      }
-    }
-  });
+  let format = settings.format;
+  let builder = logforth::starter_log::builder()
+    .dispatch(|dispatch| dispatch.filter(filter).append(lines::Lines::new(format)));
+  // A process that runs several roles starts it once; the others find it started.
   let _ = builder.try_apply();
   Ok(())
 }
--- a/src/process.rs
+++ b/src/process.rs
@@ -8,18 +8,16 @@
     settings,
     supervisor::Tree,
   },
+  crossbeam::channel::{self, Receiver, select},
   pico_args::Arguments,
   serde::de::DeserializeOwned,
   signal_hook::{
     consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
   },
-  std::{path::PathBuf, process::ExitCode, sync::Arc, time::Duration},
+  std::{path::PathBuf, process::ExitCode, sync::Arc, thread},
 };
 
-/// How often a waiting process looks for signals and faults.
-const STEP: Duration = Duration::from_millis(50);
-
 /// A signal that a process acts on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Signal {
@@ -78,7 +76,7 @@
 
 /// The parts of a process and the signals that it waits for.
 pub struct Process {
-  signals: Signals,
+  signals: Receiver<Signal>,
   /// The parts.
   pub tree: Tree,
 }
@@ -86,8 +84,22 @@
 impl Process {
   /// A process without parts.
   pub fn new(counter: Arc<Counter>) -> Result<Self, Fault> {
-    let signals = Signals::new([SIGHUP, SIGINT, SIGTERM])
-      .map_err(|error| Fault::new(Code::ChildFailed, error))?;
+    let failed = |error| Fault::new(Code::ChildFailed, error);
+    let mut caught = Signals::new([SIGHUP, SIGINT, SIGTERM]).map_err(failed)?;
+    let (sender, signals) = channel::unbounded();
+    let builder = thread::Builder::new().name("signals".into());
+    let forward = move || {
+      for signal in caught.forever() {
+        let signal = match signal {
+          SIGHUP => Signal::Reload,
+          _ => Signal::Stop,
+        };
+        if sender.send(signal).is_err() {
+          return;
+        }
+      }
+    };
+    builder.spawn(forward).map_err(failed)?;
     Ok(Self {
       signals,
       tree: Tree::new(counter),
@@ -96,15 +108,10 @@
 
   /// Waits until a signal comes or a part has failed too often.
   pub fn wait(&mut self) -> Result<Signal, Fault> {
-    loop {
-      if let Some(signal) = self.signals.pending().next() {
-        return Ok(match signal {
-          SIGHUP => Signal::Reload,
-          _ => Signal::Stop,
-        });
-      }
-      if let Ok(fault) = self.tree.given_up().recv_timeout(STEP) {
-        return Err(fault);
+    select! {
+      recv(self.signals) -> signal => signal.map_err(|error| Fault::new(Code::ChildFailed, error)),
+      recv(self.tree.given_up()) -> fault => {
+        Err(fault.unwrap_or_else(|error| Fault::new(Code::ChildFailed, error)))
       }
     }
   }
