Refuse at once what would wait too long, and let one balancer read

Ruled out: start times of processes alone (0.1 s of 1.9 s are ours); limits at the balancer alone, whose view of the load is up to 100 ms old. Change: routes carry objective and priority; a balancer resets, and an agent refuses, a new flow that would be answered later than 0.8 of its objective; opened flows count as work until their first request has come. One reader, whose word is spread with each answer.

--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -27,7 +27,7 @@
 pub use {
   catalog::{Catalog, Change, Entry},
   codec::Codec,
-  configuration::{Configuration, Version},
+  configuration::{Configuration, Route, Version},
   event::{Event, Machine, Origin},
   flow::{Flow, FlowInvalid},
   frame::Frame,
--- a/src/datagram/agent/held.rs
+++ b/src/datagram/agent/held.rs
@@ -7,6 +7,8 @@
   pub balancer: Option<SocketAddrV4>,
   /// The bytes that passed either way since its last request was answered.
   pub bytes: u32,
+  /// Whether it counts as work since its first request is about to come.
+  pub expected: bool,
   /// When its last packet passed, either way.
   pub seen: Instant,
   /// How far it is.
@@ -21,6 +23,7 @@
     Self {
       balancer,
       bytes: 0,
+      expected: false,
       seen: now,
       state,
       waits: None,
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -43,6 +43,8 @@
 pub struct Machine<C> {
   codec: C,
   counter: Arc<Counter>,
+  /// Opened flows whose first request is about to come, and until when they count as work.
+  expected: VecDeque<(Instant, Flow)>,
   expired: Instant,
   flows: HashMap<Flow, Held>,
   /// Until when flows may turn up that this run has not seen opening.
@@ -85,6 +87,7 @@
     Self {
       codec,
       counter,
+      expected: VecDeque::new(),
       expired: now,
       flows: HashMap::new(),
       forgetful_until: now + forgetful,
@@ -184,6 +187,10 @@
       self.turn_away(now, carried, Refusal::Leaving, out);
       return;
     }
+    if self.is_too_long(&flow) && !self.flows.contains_key(&flow) {
+      self.turn_away(now, carried, Refusal::Busy, out);
+      return;
+    }
     let entry = self
       .flows
       .entry(flow)
@@ -193,6 +200,12 @@
     }
     entry.balancer = Some(carried.from);
     entry.seen = now;
+    if !entry.expected && entry.waits.is_none() {
+      entry.expected = true;
+      self.work.begun();
+      let until = now + self.tuning.expected;
+      self.expected.push_back((until, flow));
+    }
     self.work.asked(now);
     out.packet(Via::Upstream, self.upstream.address, carried.packet);
   }
@@ -226,7 +239,9 @@
     entry.bytes = entry.bytes.saturating_add(carried.packet.len() as u32);
     if carried.head.data > 0 && entry.waits.is_none() {
       entry.waits = Some(now);
-      self.work.begun();
+      if !std::mem::take(&mut entry.expected) {
+        self.work.begun();
+      }
     }
     let tested = matches!(entry.state, State::Tested { .. });
     if carried.purpose == Purpose::Search && !tested {
@@ -327,7 +342,7 @@
     let flow = head.flow;
     self.work.heard();
     let entry = self.flows.get(&flow).copied();
-    if entry.is_some_and(|entry| entry.waits.is_some()) {
+    if entry.is_some_and(|entry| entry.waits.is_some() || entry.expected) {
       self.work.ended();
     }
     log::info!(
@@ -390,6 +405,15 @@
     }
   }
 
+  /// Whether a new flow's request would be answered too late.
+  fn is_too_long(&self, flow: &Flow) -> bool {
+    let Some(route) = self.spread.catalog().route(&flow.route) else {
+      return false;
+    };
+    let objective_ms = route.objective.as_secs_f64() * 1000.0;
+    self.work.wait_ms(self.slots) > objective_ms * self.tuning.wait_part
+  }
+
   fn load(&self, now: Instant) -> Load {
     self.work.load(now, self.flows.len())
   }
@@ -402,6 +426,17 @@
       self.tests.pop_front();
       self.kept(flow, deadline, out);
     }
+    while let Some((deadline, flow)) = self.expected.front().copied() {
+      if deadline > now {
+        break;
+      }
+      self.expected.pop_front();
+      if let Some(entry) = self.flows.get_mut(&flow)
+        && std::mem::take(&mut entry.expected)
+      {
+        self.work.ended();
+      }
+    }
     if now >= self.expired + EXPIRE {
       self.expired = now;
       self.expire(now);
@@ -446,7 +481,9 @@
       let overdue = entry
         .waits
         .is_some_and(|since| now.saturating_duration_since(since) >= WORK_MAX);
-      if entry.waits.is_some() && (overdue || rest >= kept) {
+      let counted = entry.expected || entry.waits.is_some();
+      if counted && (overdue || rest >= kept) {
+        entry.expected = false;
         entry.waits = None;
         work.ended();
       }
--- a/src/datagram/agent/work.rs
+++ b/src/datagram/agent/work.rs
@@ -1,5 +1,5 @@
 use {
-  crate::datagram::Load,
+  crate::datagram::{Load, load::wait_ms},
   std::time::{Duration, Instant},
 };
 
@@ -39,6 +39,11 @@
     self.ended();
   }
 
+  /// The time until a request more would be answered, in milliseconds.
+  pub fn wait_ms(&self, slots: u16) -> f64 {
+    wait_ms(self.service_ms, self.under_way, slots)
+  }
+
   /// A flow has ended that moved so many bytes in so many requests.
   pub fn moved(&mut self, bytes: f64) {
     self.bytes = blend(self.bytes, bytes);
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -2,7 +2,7 @@
   super::{
     place::{Opening, Place, State, Tried},
     search::Search,
-    targets::Targets,
+    targets::{Choice, Targets},
   },
   crate::{
     Code,
@@ -164,15 +164,21 @@
     mut tried: Tried,
     out: &mut Outbox,
   ) -> Result<(), Code> {
-    let mut agent = self.targets.choose(now, service, &tried);
-    if agent.is_none() && !tried.is_empty() {
+    let mut choice = self.targets.choose(now, service, &tried);
+    if choice.is_none() && !tried.is_empty() {
       tried.clear();
-      agent = self.targets.choose(now, service, &tried);
+      choice = self.targets.choose(now, service, &tried);
     }
-    let Some(agent) = agent else {
+    let Some(Choice { agent, wait_ms }) = choice else {
       log::info!(flow:% = flow, service:% = service; "balancer: flow has no target.");
       return Err(Code::PacketUnroutable);
     };
+    if self.is_too_long(&flow, wait_ms) {
+      log::info!(flow:% = flow, wait_ms = wait_ms; "balancer: wait is too long and flow is reset.");
+      self.flows.remove(&flow);
+      self.reset(&flow, 0, out);
+      return Err(Code::QueueFull);
+    }
     log::info!(
       flow:% = flow, service:% = service, to:% = agent, before = tried.len(),
       target:? = self.targets.get(agent), version:% = self.spread.catalog().version();
@@ -198,6 +204,14 @@
     Ok(())
   }
 
+  /// Whether a new flow would wait so long that it is better told at once: what waits in vain
+  /// makes all others wait.
+  fn is_too_long(&self, flow: &Flow, wait_ms: f64) -> bool {
+    let route = self.spread.catalog().route(&flow.route);
+    let objective = route.map_or(Duration::MAX, |route| route.objective);
+    wait_ms > objective.as_secs_f64() * 1000.0 * self.tuning.wait_part
+  }
+
   /// An opening packet goes on to the next target.
   fn place_next(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
     let service = self.spread.catalog().service(&flow.route).cloned();
@@ -217,9 +231,11 @@
     let opening = opening.clone();
     // The next copy of its caller tries again where nothing is left now.
     let next = self.targets.choose(now, &service, &opening.tried);
-    if next.is_some()
-      && let Err(code) = self.place(now, flow, &service, &opening.packet, opening.tried, out)
-    {
+    if next.is_none() {
+      return;
+    }
+    let placed = self.place(now, flow, &service, &opening.packet, opening.tried, out);
+    if let Err(code) = placed {
       self.counter.count(code);
     }
   }
@@ -408,7 +424,7 @@
   ) {
     log::info!(flow:% = flow, from:% = from, why:? = refusal; "balancer: flow is refused.");
     self.targets.loaded(now, from, load);
-    if refusal != Refusal::Leaving {
+    if !matches!(refusal, Refusal::Busy | Refusal::Leaving) {
       self.targets.unanswered(now, from);
     }
     let here = self.flows.get(&flow);
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -2,7 +2,7 @@
   super::place::Tried,
   crate::{
     config::Presence,
-    datagram::{Catalog, Entry, Load, Service, Tuning, frame::Status},
+    datagram::{Catalog, Entry, Load, Service, Tuning, frame::Status, load::wait_ms},
   },
   std::{
     collections::{BTreeMap, HashMap},
@@ -22,9 +22,6 @@
 /// A cost above any wait, in milliseconds: for targets that most likely do not serve.
 const UNLIKELY_MS: f64 = 10_000.0;
 
-/// The wait that a request is assumed to add where a target has not told, in milliseconds.
-const SERVICE_MS: f64 = 40.0;
-
 /// What makes the less busy of two targets the better one before anything waits, in milliseconds
 /// at full use.
 const USE_MS: f64 = 12.0;
@@ -79,6 +76,15 @@
   }
 }
 
+/// A target for a new flow.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice {
+  /// Its agent.
+  pub agent: SocketAddrV4,
+  /// The time until a request would be answered there, in milliseconds.
+  pub wait_ms: f64,
+}
+
 /// The targets that a balancer knows.
 #[derive(Debug)]
 pub struct Targets {
@@ -108,8 +114,9 @@
     listed.map(|(agent, _)| *agent).collect()
   }
 
-  /// The target for a new flow: the one where it waits the least, for whoever is near first.
-  pub fn choose(&self, now: Instant, service: &Service, tried: &Tried) -> Option<SocketAddrV4> {
+  /// The target for a new flow: the one where it waits the least, for whoever is near first; with
+  /// the time until it would be answered there.
+  pub fn choose(&self, now: Instant, service: &Service, tried: &Tried) -> Option<Choice> {
     let agents = self.services.get(service)?.iter();
     let open = agents.filter(|agent| !tried.contains(agent));
     let costs = open.filter_map(|agent| {
@@ -120,9 +127,11 @@
       let cost = self.cost(now, seen)?;
       Some((cost, agent))
     });
-    costs
-      .min_by(|one, other| one.0.total_cmp(&other.0))
-      .map(|(_, agent)| *agent)
+    let (_, agent) = costs.min_by(|one, other| one.0.total_cmp(&other.0))?;
+    Some(Choice {
+      agent: *agent,
+      wait_ms: wait(self.by_agent.get(agent)?),
+    })
   }
 
   /// What is known of the target at an agent.
@@ -238,7 +247,8 @@
       let (always, by_kilobyte) = self.tuning.crossing;
       cost += always + by_kilobyte * f64::from(seen.load.bytes) / 1024.0;
     }
-    Some(cost + wait(seen))
+    let work = f64::from(seen.load.work) + f64::from(seen.pending);
+    Some(cost + wait(seen) + USE_MS * work / f64::from(seen.slots))
   }
 
   fn is_heard(&self, now: Instant, seen: &Seen) -> bool {
@@ -250,12 +260,9 @@
 
 /// The time until a request more would be answered there, in milliseconds.
 fn wait(seen: &Seen) -> f64 {
-  let slots = f64::from(seen.slots);
-  let service = match seen.load.service_ms {
-    0 => SERVICE_MS,
-    ms => f64::from(ms),
-  };
-  let work = f64::from(seen.load.work) + f64::from(seen.pending);
-  let queue = (work + 1.0 - slots).max(0.0);
-  service + queue * service / slots + USE_MS * work / slots
+  wait_ms(
+    f64::from(seen.load.service_ms),
+    seen.load.work.saturating_add(seen.pending),
+    seen.slots,
+  )
 }
--- a/src/datagram/catalog.rs
+++ b/src/datagram/catalog.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Configuration, News, Record, Service, Target, target},
+  super::{Configuration, News, Record, Route, Service, Target, target},
   crate::Revision,
   std::{
     collections::{BTreeMap, HashSet},
@@ -104,9 +104,14 @@
     change
   }
 
+  /// What is behind an address, as far as known.
+  pub fn route(&self, address: &SocketAddrV4) -> Option<&Route> {
+    self.configuration()?.routes.get(address)
+  }
+
   /// The service behind an address, as far as known.
-  pub fn service(&self, route: &SocketAddrV4) -> Option<&Service> {
-    self.configuration()?.routes.get(route)
+  pub fn service(&self, address: &SocketAddrV4) -> Option<&Service> {
+    self.route(address).map(|route| &route.service)
   }
 
   /// What came after a revision.
--- a/src/datagram/configuration.rs
+++ b/src/datagram/configuration.rs
@@ -31,14 +31,26 @@
   }
 }
 
+/// What the operator says of the flows to one address.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+  /// The time within which a request on it is to be answered.
+  pub objective: Duration,
+  /// What goes first when not all can be served; 0 is the highest.
+  pub priority: u8,
+  /// Where new flows go.
+  pub service: Service,
+}
+
 /// What the operator wants: where the flows to each address go.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Configuration {
   /// After how much rest a flow may be forgotten.
   pub idle: Duration,
-  /// The service behind each address that callers reach.
-  pub routes: BTreeMap<SocketAddrV4, Service>,
+  /// What is behind each address that callers reach.
+  pub routes: BTreeMap<SocketAddrV4, Route>,
   /// The operator's count.
   pub version: Version,
 }
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -25,6 +25,8 @@
 /// Why an agent did not have a flow opened.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Refusal {
+  /// Too much waits at the upstream already.
+  Busy,
   /// The upstream sent the packet back.
   Full,
   /// The upstream is leaving.
--- a/src/datagram/node/control.rs
+++ b/src/datagram/node/control.rs
@@ -23,7 +23,7 @@
 
 /// How long a watch waits for something to change. The word of a reader counts as fresh for about
 /// as long.
-const WATCH: Duration = Duration::from_millis(1500);
+const WATCH: Duration = Duration::from_millis(1200);
 
 /// The waits after failures: the first, and the longest.
 const BACK_OFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
--- a/src/datagram/settings.rs
+++ b/src/datagram/settings.rs
@@ -88,6 +88,8 @@
   /// What it costs, in milliseconds of waiting, to leave the data centre: always, and for each
   /// kilobyte of a request and its answer. Traffic between data centres has a price.
   pub crossing: (f64, f64),
+  /// How long an opened flow counts as work before its first request has come.
+  pub expected: Duration,
   /// How long a flow that was reset is remembered.
   pub dead: Duration,
   /// How many flows are remembered.
@@ -109,8 +111,11 @@
   pub silent: Duration,
   /// How often a process tells of itself at least.
   pub status: Duration,
-  /// A balancer reads itself once nobody's word of the platform is younger.
+  /// A balancer reads itself once nobody's word of the platform is younger: longer than a watch
+  /// takes and its word spreads, and short enough that a configuration is in force in time.
   pub takeover: Duration,
+  /// The part of a route's objective that a new flow may wait for its answer.
+  pub wait_part: f64,
   /// How long an agent waits for an upstream to send back a packet that it may not hold.
   pub test: Duration,
 }
@@ -121,16 +126,18 @@
       amnesia: Duration::from_mins(1),
       crossing: (10.0, 8.0),
       dead: Duration::from_secs(3),
+      expected: Duration::from_millis(300),
       flows_max: 200_000,
       idle: Duration::from_mins(1),
       open_wait: Duration::from_millis(40),
-      readers: 2,
+      readers: 1,
       report: Duration::from_millis(100),
       search: Duration::from_millis(150),
       search_packets: 20,
       silent: Duration::from_millis(1500),
       status: Duration::from_millis(500),
-      takeover: Duration::from_secs(2),
+      takeover: Duration::from_millis(1800),
+      wait_part: 0.8,
       test: Duration::from_millis(30),
     }
   }
--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -173,6 +173,8 @@
     let change = self.catalog.offer(now, news);
     if origin == Origin::Platform {
       self.confirmed = Some(now);
+      // The others count on this word, and read themselves where it stays away.
+      self.next = now;
     } else {
       self.pull = None;
     }
