--- a/src/datagram/agent/held.rs
+++ b/src/datagram/agent/held.rs
@@ -3,6 +3,8 @@
 /// A flow at the agent's upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Held {
+  /// How many requests the upstream had when the one that waits reached it.
+  pub ahead: u16,
   /// The balancer that its last packet came from.
   pub balancer: Option<SocketAddrV4>,
   /// The bytes that passed either way since its last request was answered.
@@ -21,6 +23,7 @@
   /// A flow that is not known to have moved anything yet.
   pub fn new(now: Instant, state: State, balancer: Option<SocketAddrV4>) -> Self {
     Self {
+      ahead: 0,
       balancer,
       bytes: 0,
       expected: false,
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -242,6 +242,7 @@
       if !std::mem::take(&mut entry.expected) {
         self.work.begun();
       }
+      entry.ahead = self.work.under_way() - 1;
     }
     let tested = matches!(entry.state, State::Tested { .. });
     if carried.purpose == Purpose::Search && !tested {
@@ -328,9 +329,8 @@
       if head.data > 0 {
         self.work.moved(f64::from(entry.bytes));
         entry.bytes = 0;
-        self
-          .work
-          .answered(now.saturating_duration_since(since), self.slots);
+        let time = now.saturating_duration_since(since);
+        self.work.answered(time, entry.ahead, self.slots);
       } else {
         self.work.ended();
       }
--- a/src/datagram/agent/work.rs
+++ b/src/datagram/agent/work.rs
@@ -13,6 +13,7 @@
 #[derive(Debug, Default)]
 pub struct Work {
   bytes: f64,
+  samples: u32,
   /// Since when an opening packet is unanswered.
   silent: Option<Instant>,
   service_ms: f64,
@@ -30,12 +31,14 @@
     self.under_way = self.under_way.saturating_sub(1);
   }
 
-  /// A request was answered after `time`; it counts as a measure when few others were there.
-  pub fn answered(&mut self, time: Duration, slots: u16) {
-    if self.under_way <= slots {
-      let ms = time.as_secs_f64() * 1000.0;
-      self.service_ms = blend(self.service_ms, ms);
-    }
+  /// A request was answered after `time`, when `ahead` others were there before it.
+  pub fn answered(&mut self, time: Duration, ahead: u16, slots: u16) {
+    let slots = f64::from(slots);
+    let queue = (f64::from(ahead) + 1.0 - slots).max(0.0);
+    let ms = time.as_secs_f64() * 1000.0 / (1.0 + queue / slots);
+    self.samples = self.samples.saturating_add(1);
+    let weight = NEWEST.max(1.0 / f64::from(self.samples));
+    self.service_ms += weight * (ms - self.service_ms);
     self.ended();
   }
 
