Hand flows over a planned restart of an agent, and prove the machines alone

Cause: an agent that starts again tests flows at its upstream; rolled one after another, all are forgetful at once, and a search whose owner is away strews packets over other targets.

--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -13,6 +13,7 @@
 mod flow;
 /// What passes between the processes in datagrams.
 pub mod frame;
+mod handover;
 mod head;
 mod load;
 pub mod node;
@@ -31,6 +32,7 @@
   event::{Event, Machine, Origin},
   flow::{Flow, FlowInvalid},
   frame::Frame,
+  handover::Handover,
   head::Head,
   load::Load,
   outbox::{Datagram, Outbox, Via},
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -8,8 +8,8 @@
     config::Presence,
     counter::Counter,
     datagram::{
-      Change, Codec, Event, Flow, Frame, Head, Load, Origin, Outbox, Settings, Spread, Tuning,
-      Upstream, Version, Via, event,
+      Change, Codec, Event, Flow, Frame, Handover, Head, Load, Origin, Outbox, Settings, Spread,
+      Tuning, Upstream, Version, Via, event,
       frame::{Purpose, Refusal, Role, Status},
     },
   },
@@ -49,10 +49,14 @@
   flows: HashMap<Flow, Held>,
   /// Until when flows may turn up that this run has not seen opening.
   forgetful_until: Instant,
+  /// What the run before had, as balancers tell it.
+  handed: Handover,
   leaving: bool,
   port: u16,
   reported: (Instant, Load),
   slots: u16,
+  /// Whether the process is about to stop.
+  stopping: bool,
   spread: Spread,
   tests: VecDeque<(Instant, Flow)>,
   tuning: Tuning,
@@ -91,10 +95,12 @@
       expired: now,
       flows: HashMap::new(),
       forgetful_until: now + forgetful,
+      handed: Handover::default(),
       leaving: false,
       port: settings.callers.port(),
       reported: (now, Load::default()),
       slots: 1,
+      stopping: false,
       spread,
       tests: VecDeque::new(),
       tuning,
@@ -122,8 +128,8 @@
         service,
         version,
       } => self.carry(now, from, purpose, service, version, packet, out),
-      Frame::Held { flows, whole } => {
-        self.reminded(now, from, &flows, whole);
+      Frame::Held { flows, part, parts } => {
+        self.reminded(now, from, flows, part, parts);
         Ok(())
       }
       Frame::News(news) => {
@@ -371,19 +377,41 @@
     }
   }
 
-  /// A balancer says which flows it believes to be here.
-  fn reminded(&mut self, now: Instant, from: SocketAddrV4, flows: &[Flow], whole: bool) {
-    for flow in flows {
-      self
-        .flows
-        .entry(*flow)
-        .or_insert(Held::new(now, State::Open, Some(from)));
-    }
-    if whole {
+  /// A balancer says which flows this agent had before it started again.
+  fn reminded(
+    &mut self,
+    now: Instant,
+    from: SocketAddrV4,
+    flows: Vec<Flow>,
+    part: u16,
+    parts: u16,
+  ) {
+    for flow in &flows {
+      let before = Held::new(now, State::Open, Some(from));
+      self.flows.entry(*flow).or_insert(before);
+    }
+    if now < self.forgetful_until && self.handed.take(part, parts, flows) {
+      log::info!(from:% = from, flows = self.flows.len(); "agent: all flows are known again.");
       self.forgetful_until = now;
     }
   }
 
+  /// Hands the flows to balancers, for the next run, and takes no new ones.
+  fn stop(&mut self, now: Instant, out: &mut Outbox) {
+    self.spread.stop(now);
+    self.leaving = true;
+    self.stopping = true;
+    if now < self.forgetful_until {
+      return;
+    }
+    let held = self.flows.iter();
+    let held = held.filter(|(_, entry)| entry.state == State::Open);
+    let handover = held.map(|(flow, _)| *flow).collect::<Handover>();
+    for balancer in self.spread.balancers(now) {
+      handover.send(balancer, out);
+    }
+  }
+
   fn status(&mut self, now: Instant, from: SocketAddrV4, status: &Status) {
     self.spread.status(now, from, status);
   }
@@ -399,6 +427,7 @@
     let leaving = entry.target.presence == Presence::Leaving
       || entry.gone.is_some()
       || entry.target.service != self.upstream.service;
+    let leaving = leaving || self.stopping;
     if leaving != self.leaving {
       log::info!(target:% = id, leaving = leaving; "agent: the list says whether it leaves.");
       self.leaving = leaving;
@@ -504,7 +533,7 @@
       }
       Event::Packet(packet) => self.packet(now, packet, out),
       Event::Stop => {
-        self.spread.stop(now);
+        self.stop(now, out);
         Ok(())
       }
       Event::Tick => {
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -8,7 +8,8 @@
     Code,
     counter::Counter,
     datagram::{
-      Codec, Event, Flow, Frame, Head, Outbox, Service, Settings, Spread, Tuning, Via, event,
+      Codec, Event, Flow, Frame, Handover, Head, Outbox, Service, Settings, Spread, Tuning, Via,
+      event,
       frame::{Purpose, Refusal, Role, Status},
     },
   },
@@ -31,7 +32,10 @@
 const ROUTE_FRESH: Duration = Duration::from_millis(2500);
 
 /// How many flows one frame names.
-const HELD_MAX: usize = 80;
+const HELD_MAX: usize = 64;
+
+/// How long the flows of an agent that has stopped are kept for its next run.
+const HANDED_KEPT: Duration = Duration::from_secs(30);
 
 /// Decides where a balancer sends the packets of callers.
 pub struct Machine<C> {
@@ -39,6 +43,8 @@
   counter: Arc<Counter>,
   expired: Instant,
   flows: HashMap<Flow, Place>,
+  /// What agents that stopped had, and when they said so.
+  handed: HashMap<SocketAddrV4, (Instant, Handover)>,
   openings: VecDeque<(Instant, Flow)>,
   port: u16,
   searches: HashMap<Flow, Search>,
@@ -71,6 +77,7 @@
       counter,
       expired: now,
       flows: HashMap::new(),
+      handed: HashMap::new(),
       openings: VecDeque::new(),
       port: settings.callers.port(),
       searches: HashMap::new(),
@@ -373,8 +380,14 @@
     let (frame, packet) = Frame::decode(bytes)?;
     match frame {
       Frame::Absent(flow) => self.absent(now, from, flow, packet, out),
-      Frame::Carry { .. } | Frame::Held { .. } => return Err(Code::FrameWrongTarget),
+      Frame::Carry { .. } => return Err(Code::FrameWrongTarget),
       Frame::Found(flow) => self.found(now, from, flow),
+      Frame::Held { flows, part, parts } => {
+        let fresh = || (now, Handover::default());
+        let (at, handed) = self.handed.entry(from).or_insert_with(fresh);
+        *at = now;
+        handed.take(part, parts, flows);
+      }
       Frame::News(news) => {
         let change = self.spread.news(now, event::Origin::Peer(from), news, out);
         self.changed(&change);
@@ -443,20 +456,28 @@
     }
   }
 
-  /// An agent has started again: it is told which flows it had, as far as known here.
+  /// An agent has started again: it is told which flows it had, by its own last word and as far
+  /// as known here.
   fn remind(&mut self, agent: SocketAddrV4, out: &mut Outbox) {
-    let there = self.flows.iter();
-    let there =
-      there.filter(|(_, place)| place.agent == agent && matches!(place.state, State::Open));
-    let flows = there.map(|(flow, _)| *flow).collect::<Vec<_>>();
-    log::info!(agent:% = agent, flows = flows.len(); "balancer: agent has started again.");
-    for part in flows.chunks(HELD_MAX) {
+    let there = self.flows.iter().filter(|(_, place)| place.is_at(agent));
+    let known = there.map(|(flow, _)| *flow).collect::<Vec<_>>();
+    let handed = self.handed.remove(&agent);
+    log::info!(
+      agent:% = agent, flows = known.len(),
+      whole = handed.as_ref().is_some_and(|(_, handed)| handed.is_whole());
+      "balancer: agent has started again."
+    );
+    for part in known.chunks(HELD_MAX) {
       let frame = Frame::Held {
         flows: part.to_vec(),
-        whole: false,
+        part: 0,
+        parts: 0,
       };
       out.frame(agent, &frame, &[]);
     }
+    if let Some((_, handed)) = handed {
+      handed.send(agent, out);
+    }
   }
 
   fn changed(&mut self, change: &crate::datagram::Change) {
@@ -529,6 +550,10 @@
       };
       now.saturating_duration_since(place.seen) < kept
     });
+    self.handed.retain(|_, (at, _)| {
+      let age = now.saturating_duration_since(*at);
+      age < HANDED_KEPT
+    });
     self.spread.expire(now);
     self.targets.update(self.spread.catalog());
   }
--- a/src/datagram/balancer/place.rs
+++ b/src/datagram/balancer/place.rs
@@ -17,6 +17,13 @@
   pub state: State,
 }
 
+impl Place {
+  /// Whether an agent has the flow, as far as known.
+  pub fn is_at(&self, agent: SocketAddrV4) -> bool {
+    self.agent == agent && matches!(self.state, State::Open)
+  }
+}
+
 /// How far a flow is.
 #[derive(Clone, Debug)]
 pub enum State {
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -80,13 +80,14 @@
   },
   /// The agent has the flow.
   Found(Flow),
-  /// Flows that the sender believes the receiver to have, after the receiver has started again;
-  /// `whole` where these are all, by the receiver's own last word.
+  /// Flows of an agent: from itself when it stops, or to it when it has started again.
   Held {
     /// The flows.
     flows: Vec<Flow>,
-    /// Whether the list is complete.
-    whole: bool,
+    /// Which part this is, from 0 on.
+    part: u16,
+    /// How many parts name all flows; 0 where they name only those that the sender knows of.
+    parts: u16,
   },
   /// What changed on the platform.
   News(News),
--- /dev/null
+++ b/tests/datagram/agent.rs
@@ -0,0 +1,255 @@
+//! An agent delivers what is its upstream's, and says no only where it knows.
+
+use {
+  crate::{
+    plain::{Kind, Packet, Plain},
+    support::{Sent, Stepped, configured, flow, listed, news, peer, unlisted},
+  },
+  assert_matches::assert_matches,
+  fallwell::{
+    config::Presence,
+    datagram::{
+      Event, Flow, Frame, Service, Version, agent,
+      frame::{Purpose, Refusal},
+    },
+  },
+  std::time::Duration,
+};
+
+type Agent = Stepped<agent::Machine<Plain>>;
+
+const BALANCER: u8 = 1;
+
+fn carry(purpose: Purpose, service: &str, version: u64) -> Frame {
+  let service = service.parse::<Service>().expect("a name");
+  Frame::Carry {
+    purpose,
+    service: service.digest(),
+    version: Version(version),
+  }
+}
+
+fn deliver(agent: &mut Agent, purpose: Purpose, packet: Packet) -> Vec<Sent> {
+  agent.frame(BALANCER, &carry(purpose, "a", 1), &packet.write())
+}
+
+/// An agent that knows the list, and whose upstream has opened a flow with sequence number 100.
+fn with_flow(first_start: bool) -> (Agent, Flow) {
+  let mut agent = Stepped::agent(9, "a", first_start);
+  let records = [
+    configured(1, 1, &[(1, "a")]),
+    listed(2, "up", 9, "a", Presence::Live),
+  ];
+  agent.platform(news(None, 2, &records));
+  let flow = flow(40_001, 1);
+  let sent = deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
+  assert_eq!(sent, [Sent::Upstream(Packet::open(flow, 0))]);
+  agent.packet(answer(flow, 100));
+  let sent = deliver(&mut agent, Purpose::Deliver, Packet::data(flow, 2, 101));
+  assert_eq!(sent, [Sent::Upstream(Packet::data(flow, 2, 101))]);
+  (agent, flow)
+}
+
+fn answer(flow: Flow, sequence: u32) -> Packet {
+  Packet {
+    acknowledges: 1,
+    data: 0,
+    flow,
+    kind: Kind::Open,
+    returned: false,
+    sequence,
+  }
+}
+
+fn returned(packet: Packet) -> Packet {
+  Packet {
+    returned: true,
+    ..packet
+  }
+}
+
+fn is_told(sent: &[Sent], expected: &Frame) -> bool {
+  sent.iter().any(
+    |sent| matches!(sent, Sent::Frame(to, frame, _) if *to == peer(BALANCER) && frame == expected),
+  )
+}
+
+#[test]
+fn the_upstreams_answer_opens_the_flow_and_goes_to_the_caller() {
+  let mut agent = Stepped::agent(9, "a", true);
+  let flow = flow(40_001, 1);
+  deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
+  let sent = agent.packet(answer(flow, 100));
+  assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(opened, _), _) if *opened == flow);
+  assert_eq!(sent[1], Sent::Caller(answer(flow, 100)));
+}
+
+#[test]
+fn a_flow_that_another_target_opened_is_not_here() {
+  let mut agent = Stepped::agent(9, "a", true);
+  let flow = flow(40_001, 1);
+  deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
+  agent.packet(answer(flow, 100));
+  let sent = deliver(&mut agent, Purpose::Deliver, Packet::data(flow, 2, 777));
+  assert!(is_told(&sent, &Frame::Absent(flow)), "{sent:?}");
+  assert!(!sent.iter().any(|sent| matches!(sent, Sent::Upstream(_))));
+}
+
+#[test]
+fn a_packet_of_another_service_never_reaches_the_upstream() {
+  let mut agent = Stepped::agent(9, "a", false);
+  for purpose in [Purpose::Deliver, Purpose::Open, Purpose::Search] {
+    for packet in [
+      Packet::open(flow(40_001, 1), 0),
+      Packet::data(flow(40_001, 1), 2, 3),
+    ] {
+      let sent = agent.frame(BALANCER, &carry(purpose, "b", 1), &packet.write());
+      assert!(!sent.iter().any(|sent| matches!(sent, Sent::Upstream(_))));
+    }
+  }
+}
+
+#[test]
+fn a_leaving_upstream_gets_no_opening_packet() {
+  let (mut agent, open) = with_flow(true);
+  agent.platform(news(
+    Some(2),
+    3,
+    &[listed(3, "up", 9, "a", Presence::Leaving)],
+  ));
+  let sent = deliver(&mut agent, Purpose::Open, Packet::open(flow(40_002, 1), 0));
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(_, Frame::Refused(_, Refusal::Leaving, _), _)]
+  );
+  // The flow that it has goes on.
+  let sent = deliver(&mut agent, Purpose::Deliver, Packet::data(open, 3, 101));
+  assert_eq!(sent, [Sent::Upstream(Packet::data(open, 3, 101))]);
+}
+
+#[test]
+fn an_upstream_that_left_the_list_gets_no_opening_packet() {
+  let (mut agent, _) = with_flow(true);
+  agent.platform(news(Some(2), 3, &[unlisted(3, "up")]));
+  let sent = deliver(&mut agent, Purpose::Open, Packet::open(flow(40_002, 1), 0));
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(_, Frame::Refused(_, Refusal::Leaving, _), _)]
+  );
+}
+
+#[test]
+fn an_opening_packet_for_a_route_dropped_since_is_not_taken() {
+  let (mut agent, _) = with_flow(true);
+  agent.platform(news(Some(2), 3, &[configured(3, 2, &[])]));
+  let sent = deliver(&mut agent, Purpose::Open, Packet::open(flow(40_002, 1), 0));
+  assert_eq!(sent, []);
+}
+
+#[test]
+fn an_agent_that_knows_all_flows_says_no_without_its_upstream() {
+  let (mut agent, _) = with_flow(true);
+  let other = flow(40_002, 1);
+  let packet = Packet::data(other, 5, 6);
+  let sent = deliver(&mut agent, Purpose::Search, packet);
+  assert_eq!(sent, [Sent::Frame(peer(1), Frame::Absent(other), vec![])]);
+  // Where the packet was sent to be delivered, it comes back.
+  let sent = deliver(&mut agent, Purpose::Deliver, packet);
+  let back = packet.write();
+  assert_eq!(sent, [Sent::Frame(peer(1), Frame::Absent(other), back)]);
+}
+
+#[test]
+fn an_agent_that_has_just_started_asks_its_upstream_before_it_says_no() {
+  let mut agent = Stepped::agent(9, "a", false);
+  let flow = flow(40_001, 1);
+  let packet = Packet::data(flow, 5, 6);
+  let sent = deliver(&mut agent, Purpose::Search, packet);
+  assert_eq!(sent, [Sent::Upstream(packet)]);
+  let sent = agent.packet(returned(packet));
+  assert_eq!(sent, [Sent::Frame(peer(1), Frame::Absent(flow), vec![])]);
+  // It is not asked again: each packet counts as a stray there.
+  let sent = deliver(&mut agent, Purpose::Search, packet);
+  assert_eq!(sent, [Sent::Frame(peer(1), Frame::Absent(flow), vec![])]);
+}
+
+#[test]
+fn a_tested_flow_that_is_not_sent_back_is_here() {
+  let mut agent = Stepped::agent(9, "a", false);
+  let flow = flow(40_001, 1);
+  deliver(&mut agent, Purpose::Search, Packet::data(flow, 5, 6));
+  let sent = agent.pass(Duration::from_millis(100));
+  assert!(is_told(&sent, &Frame::Found(flow)), "{sent:?}");
+}
+
+#[test]
+fn a_flow_that_the_upstream_forgot_comes_back_with_its_packet() {
+  let (mut agent, flow) = with_flow(true);
+  let packet = Packet::data(flow, 3, 101);
+  deliver(&mut agent, Purpose::Deliver, packet);
+  let sent = agent.packet(returned(packet));
+  let back = packet.write();
+  assert_eq!(sent, [Sent::Frame(peer(1), Frame::Absent(flow), back)]);
+}
+
+#[test]
+fn a_flow_that_the_upstream_did_not_take_is_refused_at_once() {
+  let mut agent = Stepped::agent(9, "a", true);
+  let flow = flow(40_001, 1);
+  deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
+  let sent = agent.packet(returned(Packet::open(flow, 0)));
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(_, Frame::Refused(_, Refusal::Full, _), _)]
+  );
+}
+
+#[test]
+fn too_much_work_is_refused_before_the_upstream_gets_it() {
+  let (mut agent, _) = with_flow(true);
+  let mut refused = 0;
+  for port in 0..40 {
+    let packet = Packet::open(flow(41_000 + port, 1), 0);
+    let sent = deliver(&mut agent, Purpose::Open, packet);
+    let busy = |sent: &Sent| matches!(sent, Sent::Frame(_, Frame::Refused(_, Refusal::Busy, _), _));
+    refused += usize::from(sent.iter().any(busy));
+  }
+  // 4 slots, an unmeasured 40 ms and 0.55 of 200 ms leave room for 7 more in the queue.
+  assert!((25..35).contains(&refused), "refused {refused} of 40");
+}
+
+#[test]
+fn flows_are_handed_over_a_planned_restart() {
+  let (mut before, flow) = with_flow(true);
+  let parts = before
+    .step(Event::Stop)
+    .into_iter()
+    .filter_map(|sent| match sent {
+      Sent::Frame(_, frame @ Frame::Held { .. }, _) => Some(frame),
+      _ => None,
+    })
+    .collect::<Vec<_>>();
+  assert!(!parts.is_empty());
+  let mut next = Stepped::agent(9, "a", false);
+  for part in &parts {
+    next.frame(BALANCER, part, &[]);
+  }
+  let packet = Packet::data(flow, 3, 101);
+  let sent = deliver(&mut next, Purpose::Search, packet);
+  assert!(is_told(&sent, &Frame::Found(flow)), "{sent:?}");
+  // It knows all: another flow is told absent without a test.
+  let other = crate::support::flow(40_002, 1);
+  let sent = deliver(&mut next, Purpose::Search, Packet::data(other, 5, 6));
+  assert_eq!(sent, [Sent::Frame(peer(1), Frame::Absent(other), vec![])]);
+}
+
+#[test]
+fn a_stopping_agent_takes_no_new_flow() {
+  let (mut agent, _) = with_flow(true);
+  agent.step(Event::Stop);
+  let sent = deliver(&mut agent, Purpose::Open, Packet::open(flow(40_002, 1), 0));
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(_, Frame::Refused(_, Refusal::Leaving, _), _)]
+  );
+}
--- /dev/null
+++ b/tests/datagram/balancer.rs
@@ -0,0 +1,286 @@
+//! A balancer places, finds again, and resets only what is proved to be nowhere.
+
+use {
+  crate::{
+    plain::{Kind, Packet, Plain},
+    support::{Sent, Stepped, configured, flow, listed, news, peer, unlisted},
+  },
+  assert_matches::assert_matches,
+  fallwell::{
+    Revision,
+    config::Presence,
+    datagram::{
+      Flow, Frame, Load, balancer,
+      frame::{Purpose, Refusal, Role, Status},
+    },
+  },
+  std::time::Duration,
+};
+
+type Balancer = Stepped<balancer::Machine<Plain>>;
+
+/// A balancer before two targets of service `a` and one of service `b`.
+fn balancer() -> Balancer {
+  let mut balancer = Stepped::balancer(1);
+  let live = Presence::Live;
+  let records = [
+    configured(1, 1, &[(1, "a"), (2, "b")]),
+    listed(2, "up-11", 11, "a", live),
+    listed(3, "up-12", 12, "a", live),
+    listed(4, "up-21", 21, "b", live),
+  ];
+  balancer.platform(news(None, 4, &records));
+  for host in [11, 12, 21] {
+    tell(&mut balancer, host, 1, Load::default());
+  }
+  balancer
+}
+
+fn tell(balancer: &mut Balancer, host: u8, incarnation: u32, load: Load) -> Vec<Sent> {
+  let status = Frame::Status(Status {
+    balancers: vec![],
+    complete: Revision(1),
+    confirmed_ms: None,
+    incarnation,
+    role: Role::Agent(load),
+    stopping: false,
+  });
+  balancer.frame(host, &status, &[])
+}
+
+/// Who a packet was carried to, and what for.
+fn carried(sent: &[Sent]) -> Vec<(u8, Purpose)> {
+  let frames = sent.iter().filter_map(|sent| match sent {
+    Sent::Frame(to, Frame::Carry { purpose, .. }, _) => Some((to.ip().octets()[3], *purpose)),
+    _ => None,
+  });
+  frames.collect()
+}
+
+fn is_reset(sent: &[Sent], flow: Flow, sequence: u32) -> bool {
+  sent.iter().any(|sent| {
+    matches!(sent, Sent::Caller(packet)
+      if packet.kind == Kind::Reset && packet.flow == flow && packet.sequence == sequence)
+  })
+}
+
+fn busy(work: u16) -> Load {
+  Load {
+    work,
+    ..Load::default()
+  }
+}
+
+#[test]
+fn a_flow_is_placed_where_it_waits_the_least() {
+  let mut balancer = balancer();
+  tell(&mut balancer, 11, 1, busy(4));
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  assert_eq!(carried(&sent), [(12, Purpose::Open)]);
+}
+
+#[test]
+fn a_flow_stays_where_it_was_placed() {
+  let mut balancer = balancer();
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  let (place, _) = carried(&sent)[0];
+  balancer.frame(place, &Frame::Opened(flow(1, 1), Load::default()), &[]);
+  tell(&mut balancer, place, 1, busy(9));
+  let sent = balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  assert_eq!(carried(&sent), [(place, Purpose::Deliver)]);
+}
+
+#[test]
+fn an_unanswered_opening_packet_goes_on_to_the_next_target() {
+  let mut balancer = balancer();
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  let (first, _) = carried(&sent)[0];
+  let sent = balancer.pass(Duration::from_millis(41));
+  let [(second, Purpose::Open)] = carried(&sent)[..] else {
+    panic!("{sent:?}");
+  };
+  assert_ne!(first, second);
+}
+
+#[test]
+fn a_refused_opening_packet_goes_on_at_once() {
+  let mut balancer = balancer();
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  let (first, _) = carried(&sent)[0];
+  let frame = Frame::Refused(flow(1, 1), Refusal::Full, Load::default());
+  let sent = balancer.frame(first, &frame, &[]);
+  let [(second, Purpose::Open)] = carried(&sent)[..] else {
+    panic!("{sent:?}");
+  };
+  assert_ne!(first, second);
+}
+
+#[test]
+fn what_would_wait_too_long_everywhere_is_told_at_once() {
+  let mut balancer = balancer();
+  tell(&mut balancer, 11, 1, busy(24));
+  tell(&mut balancer, 12, 1, busy(24));
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  assert_eq!(carried(&sent), []);
+  assert!(is_reset(&sent, flow(1, 1), 0), "{sent:?}");
+}
+
+#[test]
+fn an_unknown_flow_is_asked_for_at_all_its_targets() {
+  let mut balancer = balancer();
+  let sent = balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  let mut asked = carried(&sent);
+  asked.sort_by_key(|(host, _)| *host);
+  assert_eq!(asked, [(11, Purpose::Search), (12, Purpose::Search)]);
+  balancer.frame(12, &Frame::Found(flow(1, 1)), &[]);
+  let sent = balancer.packet(Packet::data(flow(1, 1), 3, 100));
+  assert_eq!(carried(&sent), [(12, Purpose::Deliver)]);
+}
+
+#[test]
+fn a_flow_is_reset_once_all_its_targets_have_said_no() {
+  let mut balancer = balancer();
+  balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  let sent = balancer.frame(11, &Frame::Absent(flow(1, 1)), &[]);
+  assert_eq!(sent, []);
+  let sent = balancer.frame(12, &Frame::Absent(flow(1, 1)), &[]);
+  assert!(is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+}
+
+#[test]
+fn silence_is_no_proof() {
+  let mut balancer = balancer();
+  balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  balancer.frame(11, &Frame::Absent(flow(1, 1)), &[]);
+  for _ in 0..20 {
+    let sent = balancer.pass(Duration::from_millis(200));
+    assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+  }
+}
+
+#[test]
+fn silence_of_a_target_that_left_the_list_is() {
+  let mut balancer = balancer();
+  balancer.platform(news(Some(4), 5, &[unlisted(5, "up-12")]));
+  balancer.pass(Duration::from_secs(3));
+  balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  let sent = balancer.frame(11, &Frame::Absent(flow(1, 1)), &[]);
+  assert!(is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+}
+
+#[test]
+fn a_target_that_left_the_list_but_speaks_is_asked() {
+  let mut balancer = balancer();
+  balancer.platform(news(Some(4), 5, &[unlisted(5, "up-12")]));
+  balancer.pass(Duration::from_secs(3));
+  tell(&mut balancer, 12, 1, Load::default());
+  balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  let sent = balancer.frame(11, &Frame::Absent(flow(1, 1)), &[]);
+  assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+}
+
+#[test]
+fn a_packet_that_came_back_is_searched_for_elsewhere() {
+  let mut balancer = balancer();
+  balancer.frame(11, &Frame::Found(flow(1, 1)), &[]);
+  let packet = Packet::data(flow(1, 1), 2, 100);
+  balancer.packet(packet);
+  let sent = balancer.frame(11, &Frame::Absent(flow(1, 1)), &packet.write());
+  assert_eq!(carried(&sent), [(12, Purpose::Search)]);
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_flow() {
+  let mut balancer = balancer();
+  let leaving = listed(5, "up-11", 11, "a", Presence::Leaving);
+  balancer.platform(news(Some(4), 5, &[leaving]));
+  for port in 0..50 {
+    let sent = balancer.packet(Packet::open(flow(port, 1), 0));
+    assert!(!carried(&sent).contains(&(11, Purpose::Open)));
+    balancer.pass(Duration::from_millis(50));
+  }
+}
+
+#[test]
+fn an_address_that_another_service_reuses_gets_none_of_the_firsts_flows() {
+  let mut balancer = balancer();
+  let records = [
+    unlisted(5, "up-11"),
+    listed(6, "up-31", 11, "b", Presence::Live),
+  ];
+  balancer.platform(news(Some(4), 6, &records));
+  for port in 0..50 {
+    let sent = balancer.packet(Packet::open(flow(port, 1), 0));
+    assert!(!carried(&sent).contains(&(11, Purpose::Open)));
+    balancer.pass(Duration::from_millis(50));
+  }
+}
+
+#[test]
+fn lapsed_targets_serve_for_a_moment_where_none_is_listed() {
+  let mut balancer = balancer();
+  let records = [unlisted(5, "up-11"), unlisted(6, "up-12")];
+  balancer.platform(news(Some(4), 6, &records));
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  assert_matches!(carried(&sent)[..], [(11 | 12, Purpose::Open)]);
+  balancer.pass(Duration::from_secs(3));
+  let sent = balancer.packet(Packet::open(flow(2, 1), 0));
+  assert_eq!(carried(&sent), []);
+}
+
+#[test]
+fn a_dropped_route_is_told_at_once() {
+  let mut balancer = balancer();
+  balancer.platform(news(Some(4), 5, &[configured(5, 2, &[(2, "b")])]));
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  assert!(is_reset(&sent, flow(1, 1), 0), "{sent:?}");
+}
+
+#[test]
+fn a_route_that_may_have_come_unheard_is_not_reset() {
+  let mut balancer = balancer();
+  balancer.pass(Duration::from_secs(5));
+  let sent = balancer.packet(Packet::open(flow(1, 9), 0));
+  assert_eq!(sent, []);
+}
+
+#[test]
+fn an_agent_that_has_started_again_hears_its_flows() {
+  let mut balancer = balancer();
+  balancer.frame(11, &Frame::Found(flow(1, 1)), &[]);
+  let sent = tell(&mut balancer, 11, 2, Load::default());
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(to, Frame::Held { flows, parts: 0, .. }, _)]
+      if *to == peer(11) && flows[..] == [flow(1, 1)]
+  );
+}
+
+#[test]
+fn a_handover_goes_back_to_the_next_run_whole() {
+  let mut balancer = balancer();
+  for part in [1, 0] {
+    let frame = Frame::Held {
+      flows: vec![flow(part, 1)],
+      part,
+      parts: 2,
+    };
+    balancer.frame(11, &frame, &[]);
+  }
+  let sent = tell(&mut balancer, 11, 2, Load::default());
+  let whole = |sent: &&Sent| matches!(sent, Sent::Frame(_, Frame::Held { parts: 2, .. }, _));
+  assert_eq!(sent.iter().filter(whole).count(), 2, "{sent:?}");
+}
+
+#[test]
+fn a_handover_with_a_part_lost_does_not_count_as_whole() {
+  let mut balancer = balancer();
+  let frame = Frame::Held {
+    flows: vec![flow(1, 1)],
+    part: 0,
+    parts: 2,
+  };
+  balancer.frame(11, &frame, &[]);
+  let sent = tell(&mut balancer, 11, 2, Load::default());
+  assert_matches!(&sent[..], [Sent::Frame(_, Frame::Held { parts: 0, .. }, _)]);
+}
--- /dev/null
+++ b/tests/datagram/frame.rs
@@ -0,0 +1,48 @@
+//! Frames: what is written is read again, and anything else is refused by number.
+
+use {
+  crate::support::{configured, flow, news},
+  fallwell::{
+    Code,
+    datagram::{Frame, Version, frame::Purpose},
+  },
+  proptest::prelude::*,
+};
+
+#[test]
+fn a_frame_and_its_packet_are_read_again() {
+  let frame = Frame::Carry {
+    purpose: Purpose::Search,
+    service: 77,
+    version: Version(3),
+  };
+  let mut bytes = Vec::new();
+  frame.encode(&mut bytes);
+  bytes.extend_from_slice(b"packet");
+  assert_eq!(Frame::decode(&bytes), Ok((frame, &b"packet"[..])));
+}
+
+#[test]
+fn every_cut_of_a_frame_is_refused() {
+  let frame = Frame::News(news(Some(4), 5, &[configured(5, 7, &[(1, "a")])]));
+  let mut bytes = Vec::new();
+  frame.encode(&mut bytes);
+  for length in 0..bytes.len() {
+    assert_eq!(Frame::decode(&bytes[..length]), Err(Code::FrameTruncated));
+  }
+}
+
+#[test]
+fn another_version_is_refused() {
+  let mut bytes = Vec::new();
+  Frame::Found(flow(1, 1)).encode(&mut bytes);
+  bytes[0] ^= 1;
+  assert_eq!(Frame::decode(&bytes), Err(Code::FrameVersionUnknown));
+}
+
+proptest! {
+  #[test]
+  fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+    let _ = Frame::decode(&bytes);
+  }
+}
--- /dev/null
+++ b/tests/datagram/spread.rs
@@ -0,0 +1,131 @@
+//! Who reads the platform, and how the others hear of it.
+
+use {
+  crate::support::{configured, news, peer},
+  fallwell::{
+    Revision,
+    datagram::{
+      Event, Frame, Machine, Origin, Outbox, Spread, Tuning, Version,
+      frame::{Role, Status},
+    },
+  },
+  std::time::{Duration, Instant},
+};
+
+fn spread(now: Instant, host: u8) -> Spread {
+  let seeds = [peer(1), peer(2), peer(3)];
+  Spread::new(now, peer(host), true, 1, &seeds, Tuning::default())
+}
+
+fn status(complete: u64, confirmed_ms: Option<u32>) -> Status {
+  Status {
+    balancers: vec![],
+    complete: Revision(complete),
+    confirmed_ms,
+    incarnation: 1,
+    role: Role::Balancer,
+    stopping: false,
+  }
+}
+
+/// The balancers of three that read at a time, when each hears of the others.
+fn readers(now: Instant, confirmed_ms: u32) -> Vec<u8> {
+  let reads = |host: &u8| {
+    let mut spread = spread(now, *host);
+    for other in (1..=3).filter(|other| other != host) {
+      spread.status(now, peer(other), &status(0, Some(confirmed_ms)));
+    }
+    spread.is_reader(now)
+  };
+  (1..=3).filter(reads).collect()
+}
+
+#[test]
+fn one_of_all_reads_while_its_word_is_fresh() {
+  assert_eq!(
+    readers(Instant::now() + Duration::from_mins(1), 100).len(),
+    1
+  );
+}
+
+#[test]
+fn all_read_once_nobody_has_fresh_word() {
+  let now = Instant::now() + Duration::from_mins(1);
+  assert_eq!(readers(now, 2500), [1, 2, 3]);
+}
+
+#[test]
+fn a_balancer_that_hears_of_nobody_reads() {
+  let now = Instant::now();
+  for host in 1..=3 {
+    assert!(spread(now, host).is_reader(now));
+  }
+}
+
+#[test]
+fn an_agent_never_reads() {
+  let now = Instant::now();
+  let spread = Spread::new(now, peer(1), false, 1, &[], Tuning::default());
+  assert!(!spread.is_reader(now));
+}
+
+#[test]
+fn a_peer_that_knows_more_is_asked_once() {
+  let now = Instant::now();
+  let mut spread = spread(now, 1);
+  spread.status(now, peer(2), &status(9, None));
+  spread.status(now, peer(3), &status(9, None));
+  assert_eq!(spread.take_wanted(), Some((peer(2), Revision(0))));
+  assert_eq!(spread.take_wanted(), None);
+  // It does not answer: the next one is asked.
+  spread.unreachable(peer(2));
+  spread.status(now, peer(3), &status(9, None));
+  assert_eq!(spread.take_wanted(), Some((peer(3), Revision(0))));
+}
+
+#[test]
+fn word_of_a_peer_that_knows_more_does_not_confirm_what_is_known_here() {
+  let now = Instant::now() + Duration::from_mins(1);
+  let mut spread = spread(now, 1);
+  spread.status(now, peer(2), &status(9, Some(10)));
+  assert_eq!(spread.confirmed(now), None);
+}
+
+#[test]
+fn news_of_the_platform_is_pushed_to_peers() {
+  let now = Instant::now();
+  let mut spread = spread(now, 1);
+  let mut out = Outbox::default();
+  let records = [configured(1, 7, &[(1, "a")])];
+  spread.news(now, Origin::Platform, news(None, 1, &records), &mut out);
+  let mut other = self::spread(now, 2);
+  let to_other = out.datagrams().iter().find(|sent| sent.to == peer(2));
+  let (frame, _) = Frame::decode(out.bytes(to_other.expect("pushed"))).expect("frame");
+  let Frame::News(pushed) = frame else {
+    panic!("{frame:?}");
+  };
+  other.news(now, Origin::Peer(peer(1)), pushed, &mut Outbox::default());
+  assert_eq!(other.catalog().version(), Version(7));
+}
+
+#[test]
+fn news_too_large_for_a_frame_is_announced() {
+  let now = Instant::now();
+  let mut spread = spread(now, 1);
+  let mut out = Outbox::default();
+  let routes = (0..200)
+    .map(|number| (number, "service"))
+    .collect::<Vec<_>>();
+  let records = [configured(1, 7, &routes)];
+  spread.news(now, Origin::Platform, news(None, 1, &records), &mut out);
+  let (frame, _) = Frame::decode(out.bytes(&out.datagrams()[0])).expect("frame");
+  assert!(matches!(frame, Frame::Status(status) if status.complete == Revision(1)));
+}
+
+#[test]
+fn a_stopping_balancer_reads_no_more() {
+  let mut balancer = crate::support::Stepped::balancer(1);
+  balancer.step(Event::Stop);
+  let now = balancer.now;
+  assert!(!balancer.machine.spread().is_reader(now));
+}
--- /dev/null
+++ b/tests/datagram/support.rs
@@ -0,0 +1,231 @@
+use {
+  crate::plain::{Packet, Plain},
+  fallwell::{
+    Revision,
+    config::Presence,
+    counter::Counter,
+    datagram::{
+      Configuration, Event, Flow, Frame, Machine, News, Origin, Outbox, Record, Route, Service,
+      Settings, Target, Tuning, Upstream, Version, Via, agent, balancer,
+    },
+  },
+  std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+    time::{Duration, Instant},
+  },
+};
+
+/// The port where all processes of these tests listen for frames.
+pub const PEERS: u16 = 7000;
+
+/// The port of callers' packets.
+pub const CALLERS: u16 = 4400;
+
+/// The port where upstreams take packets.
+pub const UPSTREAM: u16 = 8000;
+
+/// An instance's address for frames.
+pub fn peer(host: u8) -> SocketAddrV4 {
+  SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, host), PEERS)
+}
+
+/// The address of the upstream on an instance.
+pub fn upstream(host: u8) -> SocketAddrV4 {
+  SocketAddrV4::new(*peer(host).ip(), UPSTREAM)
+}
+
+/// The address of a route.
+pub fn route(number: u8) -> SocketAddrV4 {
+  SocketAddrV4::new(Ipv4Addr::new(198, 51, 100, number), 443)
+}
+
+/// A flow of a caller's port to a route.
+pub fn flow(port: u16, number: u8) -> Flow {
+  Flow {
+    caller: SocketAddrV4::new(Ipv4Addr::new(192, 0, 2, 7), port),
+    route: route(number),
+  }
+}
+
+/// Settings of the instance `host`.
+pub fn settings(host: u8) -> Settings {
+  Settings {
+    callers: SocketAddrV4::new(*peer(host).ip(), CALLERS),
+    peers: peer(host),
+    ..Settings::default()
+  }
+}
+
+/// A configuration whose routes lead to services, by their numbers and names.
+pub fn configuration(version: u64, routes: &[(u8, &str)]) -> Configuration {
+  let route_to = |service: &str| Route {
+    objective: Duration::from_millis(200),
+    priority: 1,
+    service: service.parse().expect("a name"),
+  };
+  let routes = routes.iter();
+  Configuration {
+    idle: Duration::from_secs(30),
+    routes: routes
+      .map(|(number, service)| (route(*number), route_to(service)))
+      .collect::<BTreeMap<_, _>>(),
+    version: Version(version),
+  }
+}
+
+/// The record of a configuration.
+pub fn configured(revision: u64, version: u64, routes: &[(u8, &str)]) -> Record {
+  Record::Configuration {
+    configuration: configuration(version, routes),
+    revision: Revision(revision),
+  }
+}
+
+/// The record of a target on an instance.
+pub fn listed(revision: u64, id: &str, host: u8, service: &str, presence: Presence) -> Record {
+  Record::Target {
+    id: id.parse().expect("a name"),
+    revision: Revision(revision),
+    target: Some(Target {
+      address: upstream(host),
+      data_centre: "default".into(),
+      presence,
+      service: service.parse().expect("a name"),
+      slots: 4,
+    }),
+  }
+}
+
+/// The record of a target that has left the list.
+pub fn unlisted(revision: u64, id: &str) -> Record {
+  Record::Target {
+    id: id.parse().expect("a name"),
+    revision: Revision(revision),
+    target: None,
+  }
+}
+
+/// News of records; the whole where nothing came before.
+pub fn news(after: Option<u64>, to: u64, records: &[Record]) -> News {
+  News {
+    after: after.map(Revision),
+    records: records.to_vec(),
+    to: Revision(to),
+  }
+}
+
+/// Something sent: a frame with the packet that follows, or a packet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Sent {
+  /// To a caller.
+  Caller(Packet),
+  /// To a process.
+  Frame(SocketAddrV4, Frame, Vec<u8>),
+  /// To the upstream.
+  Upstream(Packet),
+}
+
+/// A machine that is stepped by hand.
+pub struct Stepped<M> {
+  /// The machine.
+  pub machine: M,
+  /// The time.
+  pub now: Instant,
+  out: Outbox,
+}
+
+impl Stepped<balancer::Machine<Plain>> {
+  /// A balancer that has just started.
+  pub fn balancer(host: u8) -> Self {
+    let now = Instant::now();
+    let counter = Arc::new(Counter::default());
+    let tuning = Tuning::default();
+    let machine = balancer::Machine::new(now, &settings(host), tuning, Plain, 1, counter);
+    Self::new(machine, now)
+  }
+}
+
+impl Stepped<agent::Machine<Plain>> {
+  /// An agent beside an upstream of a service; `first_start` when it cannot meet older flows.
+  pub fn agent(host: u8, service: &str, first_start: bool) -> Self {
+    let now = Instant::now();
+    let counter = Arc::new(Counter::default());
+    let settings = Settings {
+      first_start,
+      ..settings(host)
+    };
+    let beside = Upstream {
+      address: upstream(host),
+      outbound: SocketAddrV4::new(*peer(host).ip(), UPSTREAM + 1),
+      service: service.parse::<Service>().expect("a name"),
+    };
+    let tuning = Tuning::default();
+    let machine = agent::Machine::new(now, &settings, beside, tuning, Plain, 1, counter);
+    Self::new(machine, now)
+  }
+}
+
+impl<M: Machine> Stepped<M> {
+  fn new(machine: M, now: Instant) -> Self {
+    Self {
+      machine,
+      now,
+      out: Outbox::default(),
+    }
+  }
+
+  /// Feeds an event.
+  pub fn step(&mut self, event: Event) -> Vec<Sent> {
+    self.out.clear();
+    self.machine.step(self.now, event, &mut self.out);
+    read(&self.out)
+  }
+
+  /// Feeds a packet.
+  pub fn packet(&mut self, packet: Packet) -> Vec<Sent> {
+    self.step(Event::Packet(&mut packet.write()))
+  }
+
+  /// Feeds a frame from an instance and the packet that follows.
+  pub fn frame(&mut self, from: u8, frame: &Frame, packet: &[u8]) -> Vec<Sent> {
+    let mut bytes = Vec::new();
+    frame.encode(&mut bytes);
+    bytes.extend_from_slice(packet);
+    self.step(Event::Frame {
+      from: peer(from),
+      bytes: &bytes,
+    })
+  }
+
+  /// Feeds news of the platform.
+  pub fn platform(&mut self, news: News) -> Vec<Sent> {
+    self.step(Event::News(Origin::Platform, news))
+  }
+
+  /// Lets time pass and tells the machine.
+  pub fn pass(&mut self, time: Duration) -> Vec<Sent> {
+    self.now += time;
+    self.step(Event::Tick)
+  }
+}
+
+/// What an outbox holds, without statuses.
+pub fn read(out: &Outbox) -> Vec<Sent> {
+  let datagrams = out.datagrams().iter();
+  let sent = datagrams.map(|datagram| {
+    let bytes = out.bytes(datagram);
+    match datagram.via {
+      Via::Callers => Sent::Caller(Packet::read(bytes).expect("packet")),
+      Via::Peers => {
+        let (frame, packet) = Frame::decode(bytes).expect("frame");
+        Sent::Frame(datagram.to, frame, packet.to_vec())
+      }
+      Via::Upstream => Sent::Upstream(Packet::read(bytes).expect("packet")),
+    }
+  });
+  sent
+    .filter(|sent| !matches!(sent, Sent::Frame(_, Frame::Status(_), _)))
+    .collect()
+}
