Play all machines of datagram services under random faults

Change: a world without sockets: balancers, agents, upstreams, callers, a store; kills, planned stops, crashes, reused addresses, an absent store, lost frames; what must hold is asserted inside.

--- a/tests/datagram/random_run.rs
+++ b/tests/datagram/random_run.rs
@@ -1,1 +1,212 @@
+//! Faults of every kind, several at once, over all machines. Each world asserts inside that no
+//! packet reaches a wrong service, no open flow is reset, no configuration steps back and no
+//! leaving target gets opening packets; here, that all is well again once the faults end.
 
+use {crate::world::World, proptest::prelude::*, rand::RngExt};
+
+/// Where the targets of service `a` stand; those of service `b` follow.
+const A: std::ops::Range<u8> = 11..15;
+
+/// Where the targets of service `b` stand.
+const B: std::ops::Range<u8> = 21..23;
+
+fn world(seed: u64) -> World {
+  let mut world = World::new(seed);
+  world.configure(&[(1, "a"), (2, "b")]);
+  for host in A {
+    world.start_target(host, "a");
+  }
+  for host in B {
+    world.start_target(host, "b");
+  }
+  world.run(2000);
+  world
+}
+
+/// One fault, or one step of planned work.
+fn disturb(world: &mut World) {
+  let targets = world.targets();
+  let target = targets[world.rng.random_range(0..targets.len())];
+  let balancer = world.rng.random_range(1..4);
+  match world.rng.random_range(0..14) {
+    0 => world.kill(balancer),
+    1 => world.start_balancer(balancer),
+    2 => world.stop(balancer),
+    3 => {
+      world.stop(target);
+      world.run(300);
+      world.start_agent(target);
+    }
+    4 => {
+      world.kill(target);
+      world.run(300);
+      world.start_agent(target);
+    }
+    5 => world.crash_target(target, false),
+    6 => world.crash_target(target, true),
+    7 => world.drain(target),
+    8 => world.unlist(target),
+    9 => world.store(false),
+    10 => world.store(true),
+    11 => world.lose(0.05),
+    12 => world.configure(&[(1, "a"), (2, "b"), (3, "a")]),
+    _ => {
+      // The address goes to another service.
+      world.crash_target(target, true);
+      world.unlist(target);
+      world.run(2000);
+      let service = if A.contains(&target) { "b" } else { "a" };
+      world.start_target(target, service);
+    }
+  }
+}
+
+fn mend(world: &mut World) {
+  world.lose(0.0);
+  world.store(true);
+  for host in 1..=3 {
+    world.start_balancer(host);
+  }
+  for host in A {
+    world.unlist(host);
+    world.start_target(host, "a");
+  }
+  for host in B {
+    world.unlist(host);
+    world.start_target(host, "b");
+  }
+  world.run(6000);
+}
+
+fn play(seed: u64) {
+  let mut world = world(seed);
+  for _ in 0..40 {
+    for _ in 0..4 {
+      let route = world.rng.random_range(1..3);
+      let requests = world.rng.random_range(1..12);
+      world.call(route, requests);
+    }
+    let ms = world.rng.random_range(10..400);
+    world.run(ms);
+    if world.rng.random_bool(0.4) {
+      disturb(&mut world);
+    }
+  }
+  mend(&mut world);
+  assert!(world.is_level(), "seed {seed}: a process is behind");
+  assert_eq!(world.waiting(), 0, "seed {seed}");
+  let before = world.ended.0;
+  for number in 0..40 {
+    world.call(1 + number % 2, 3);
+    world.run(20);
+  }
+  world.run(3000);
+  assert_eq!(
+    world.ended.0,
+    before + 40,
+    "seed {seed}: not all were served"
+  );
+}
+
+#[test]
+fn a_calm_day_serves_every_flow() {
+  let mut world = world(1);
+  for number in 0..200 {
+    world.call(1 + number % 2, 5);
+    world.run(20);
+  }
+  world.run(1000);
+  assert_eq!(world.ended, (200, 0));
+}
+
+#[test]
+fn flows_outlive_the_planned_restart_of_every_process() {
+  let mut world = world(2);
+  for number in 0..60 {
+    world.call(1 + number % 2, 400);
+    world.run(20);
+  }
+  world.run(500);
+  for host in world.targets() {
+    world.stop(host);
+    world.run(400);
+    world.start_agent(host);
+    world.run(400);
+  }
+  for host in 1..=3 {
+    world.stop(host);
+    world.run(400);
+    world.start_balancer(host);
+    world.run(400);
+  }
+  world.run(20_000);
+  assert_eq!(world.ended, (60, 0));
+}
+
+#[test]
+fn all_balancers_come_back_while_the_store_is_away() {
+  let mut world = world(3);
+  world.store(false);
+  for host in 1..=3 {
+    world.kill(host);
+  }
+  world.run(500);
+  for host in 1..=3 {
+    world.start_balancer(host);
+  }
+  world.run(3000);
+  for number in 0..20 {
+    world.call(1 + number % 2, 3);
+    world.run(20);
+  }
+  world.run(1000);
+  assert_eq!(world.ended, (20, 0));
+}
+
+#[test]
+fn all_agents_come_back_while_the_store_is_away() {
+  let mut world = world(4);
+  world.store(false);
+  for host in world.targets() {
+    world.kill(host);
+  }
+  world.run(500);
+  for host in world.targets() {
+    world.start_agent(host);
+  }
+  world.run(3000);
+  assert!(world.is_level());
+  for number in 0..20 {
+    world.call(1 + number % 2, 3);
+    world.run(20);
+  }
+  world.run(1000);
+  assert_eq!(world.ended, (20, 0));
+}
+
+/// Seeds that failed once, each with its cause.
+const FAILED: [u64; 1] = [
+  // The world took a store that was still away for a calm one: a fault of the world itself.
+  8_667_209_001_218_903_438,
+];
+
+#[test]
+fn promises_hold_under_faults() {
+  for seed in FAILED.into_iter().chain(0..96) {
+    play(seed);
+  }
+}
+
+/// By hand, with as many seeds as the variable says: `FALLWELL_SEEDS=5000 cargo test --release
+/// --test datagram -- --ignored --nocapture`.
+#[test]
+#[ignore = "runs as long as it is told to"]
+fn promises_hold_under_faults_with_fresh_seeds() {
+  let count = std::env::var("FALLWELL_SEEDS").ok();
+  let count = count.and_then(|text| text.parse().ok()).unwrap_or(1000);
+  for _ in 0..count {
+    let seed = rand::random();
+    println!("seed {seed}");
+    play(seed);
+  }
+}
