Ask whoever became known during a search before it ends

Cause: a flow's target was learnt between the questions and the last no, and was not asked. Change: a search remembers whom it asked and concludes nothing when somebody else is known by then.

--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -279,6 +279,7 @@
       searching.push_back((deadline, head.flow));
       log::info!(flow:% = head.flow, asked = asked.len(); "balancer: flow is searched for.");
       Search {
+        asked: asked.iter().copied().chain(except).collect(),
         acknowledges: head.acknowledges,
         deadline,
         packets: 0,
@@ -345,6 +346,13 @@
     if !search.waiting.is_empty() {
       return;
     }
+    let service = self.spread.catalog().service(&flow.route);
+    let holders = service.map_or(&[][..], |service| self.targets.holders(service));
+    if !holders.iter().all(|holder| search.asked.contains(holder)) {
+      // Somebody is known now who was not asked: the next packet of the flow asks again.
+      self.searches.remove(&flow);
+      return;
+    }
     let acknowledges = search.acknowledges;
     self.searches.remove(&flow);
     if self.flows.contains_key(&flow) {
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -357,3 +357,16 @@
   let sent = balancer.packet(Packet::data(flow(1, 1), 2, 100));
   assert_eq!(sent, []);
 }
+
+#[test]
+fn a_target_that_is_listed_during_a_search_is_asked_before_its_end() {
+  let mut balancer = balancer();
+  balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  balancer.frame(11, &absent(4), &[]);
+  let listed = listed(5, "up-13", 13, "a", Presence::Live);
+  balancer.platform(news(Some(4), 5, &[listed]));
+  let sent = balancer.frame(12, &absent(4), &[]);
+  assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+  let sent = balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  assert!(carried(&sent).contains(&(13, Purpose::Search)), "{sent:?}");
+}
