--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -13,6 +13,7 @@
       frame::{Known, Purpose, Refusal, Role, Status},
     },
   },
+  serde_json::json,
   std::{
     collections::{HashMap, VecDeque},
     net::SocketAddrV4,
@@ -114,11 +115,6 @@
     }
   }
 
-  /// How many flows are remembered.
-  pub fn remembered(&self) -> usize {
-    self.flows.len()
-  }
-
   fn frame(
     &mut self,
     now: Instant,
@@ -343,6 +339,7 @@
         self.work.moved(f64::from(entry.bytes));
         entry.bytes = 0;
         let time = now.saturating_duration_since(since);
+        self.counter.observe("answer", time);
         self.work.answered(time, entry.ahead, self.slots);
       } else {
         self.work.ended();
@@ -589,6 +586,19 @@
       .fold(status, Instant::min)
   }
 
+  fn dump(&self, now: Instant) -> serde_json::Value {
+    let forgetful = self.forgetful_until.saturating_duration_since(now);
+    json!({
+      "flows": self.flows.len(),
+      "forgetful_ms": forgetful.as_millis() as u64,
+      "leaving": self.leaving,
+      "load": self.load(now),
+      "slots": self.slots,
+      "spread": self.spread.dump(now),
+      "upstream": self.upstream,
+    })
+  }
+
   fn spread(&mut self) -> &mut Spread {
     &mut self.spread
   }
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -13,6 +13,7 @@
       frame::{Known, Purpose, Refusal, Role, Status},
     },
   },
+  serde_json::json,
   smallvec::SmallVec,
   std::{
     collections::{HashMap, VecDeque},
@@ -93,11 +94,6 @@
     }
   }
 
-  /// How many flows are remembered, and how many are searched for.
-  pub fn remembered(&self) -> (usize, usize) {
-    (self.flows.len(), self.searches.len())
-  }
-
   fn packet(&mut self, now: Instant, packet: &[u8], out: &mut Outbox) -> Result<(), Code> {
     let head = self.codec.read_from_caller(packet)?;
     let Some(service) = self.spread.catalog().service(&head.flow.route).cloned() else {
@@ -427,7 +423,10 @@
   }
 
   fn found(&mut self, now: Instant, from: SocketAddrV4, flow: Flow) {
-    if self.searches.remove(&flow).is_some() {
+    if let Some(search) = self.searches.remove(&flow) {
+      let began = search.deadline.checked_sub(self.tuning.search);
+      let time = now.saturating_duration_since(began.unwrap_or(now));
+      self.counter.observe("search", time);
       log::info!(flow:% = flow, at:% = from; "balancer: flow is found.");
     }
     self.flows.insert(
@@ -444,8 +443,11 @@
     self.targets.loaded(now, from, load);
     self.targets.opened(from);
     if let Some(place) = self.flows.get_mut(&flow)
-      && matches!(place.state, State::Opening(_))
+      && let State::Opening(opening) = &place.state
     {
+      let asked = opening.deadline.checked_sub(self.tuning.open_wait);
+      let time = now.saturating_duration_since(asked.unwrap_or(now));
+      self.counter.observe("open", time);
       place.agent = from;
       place.state = State::Open;
     }
@@ -629,6 +631,15 @@
       .fold(status, Instant::min)
   }
 
+  fn dump(&self, now: Instant) -> serde_json::Value {
+    json!({
+      "flows": self.flows.len(),
+      "searches": self.searches.len(),
+      "spread": self.spread.dump(now),
+      "targets": self.targets.dump(now),
+    })
+  }
+
   fn spread(&mut self) -> &mut Spread {
     &mut self.spread
   }
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -4,6 +4,7 @@
     config::Presence,
     datagram::{Catalog, Entry, Load, Service, Tuning, frame::Status, load::wait_ms},
   },
+  serde_json::json,
   std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddrV4,
@@ -139,11 +140,6 @@
     })
   }
 
-  /// What is known of the target at an agent.
-  pub fn get(&self, agent: SocketAddrV4) -> Option<&Seen> {
-    self.by_agent.get(&agent)
-  }
-
   /// The agents that may have a flow of a service: those of listed targets and of past ones.
   pub fn holders(&self, service: &Service) -> &[SocketAddrV4] {
     self.services.get(service).map_or(&[], Vec::as_slice)
@@ -227,6 +223,27 @@
     }
   }
 
+  /// What is known of each target, for an operator.
+  pub fn dump(&self, now: Instant) -> serde_json::Value {
+    let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+    let seen = self.by_agent.iter().map(|(agent, seen)| {
+      json!({
+        "agent": agent.to_string(),
+        "cost_ms": self.cost(now, seen),
+        "data_centre": seen.data_centre,
+        "gone_ms": seen.gone.map(age),
+        "heard_ms": seen.heard.map(age),
+        "load": seen.load,
+        "pending": seen.pending,
+        "presence": seen.presence,
+        "service": seen.service,
+        "stopping": seen.stopping,
+        "unanswered_ms": seen.unanswered.map(age),
+      })
+    });
+    seen.collect()
+  }
+
   /// Forgets targets that left the list before the oldest flow began.
   pub fn expire(&mut self, now: Instant) {
     let life = self.tuning.amnesia;
--- a/src/datagram/event.rs
+++ b/src/datagram/event.rs
@@ -42,6 +42,14 @@
   /// When the machine wants to be told of the time next.
   fn deadline(&self) -> Instant;
 
+  /// What it knows and remembers, for an operator.
+  fn dump(&self, now: Instant) -> serde_json::Value;
+
+  /// Takes other seeds, as new settings name them.
+  fn reseed(&mut self, now: Instant, seeds: &[SocketAddrV4]) {
+    self.spread().reseed(now, seeds);
+  }
+
   /// What it shares with the other role: the list, the peers and what is to be read.
   fn spread(&mut self) -> &mut super::Spread;
 }
--- a/src/datagram/node/carrier.rs
+++ b/src/datagram/node/carrier.rs
@@ -214,8 +214,17 @@
     while let Ok(message) = self.messages.try_recv() {
       let now = Instant::now();
       let event = match message {
+        Message::Dump(asker) => {
+          // Whoever asked may have gone.
+          let _ = asker.send(self.machine.dump(now));
+          continue;
+        }
         Message::End => return true,
         Message::News(origin, news) => Event::News(origin, news),
+        Message::Seeds(seeds) => {
+          self.machine.reseed(now, &seeds);
+          continue;
+        }
         Message::Stop => Event::Stop,
         Message::Unreachable(peer) => Event::Unreachable(peer),
       };
--- a/src/datagram/node/control.rs
+++ b/src/datagram/node/control.rs
@@ -18,7 +18,7 @@
     sync::Arc,
     time::{Duration, Instant},
   },
-  tokio::sync::mpsc,
+  tokio::sync::{mpsc, oneshot},
 };
 
 /// How long a watch waits for something to change. The word of a reader counts as fresh for about
@@ -38,6 +38,12 @@
 /// The path where peers ask for news.
 const NEWS: &str = "/v1/news";
 
+/// The path of the counts and times.
+const METRICS: &str = "/metrics";
+
+/// The path of the state.
+const STATE: &str = "/v1/state";
+
 /// Asks the platform and peers, and answers peers, the platform and operators, until the process
 /// ends.
 pub fn run<S: Source>(
@@ -56,8 +62,9 @@
     let path = source.readiness_path();
     let readiness = serve(settings.readiness, Arc::clone(shared), path);
     let peers = serve(settings.peers, Arc::clone(shared), path);
-    let ((), (), readiness, peers) = tokio::join!(reads, asks, readiness, peers);
-    readiness.and(peers)
+    let api = serve(settings.api, Arc::clone(shared), path);
+    let ((), (), readiness, peers, api) = tokio::join!(reads, asks, readiness, peers, api);
+    readiness.and(peers).and(api)
   })
 }
 
@@ -141,29 +148,41 @@
   readiness: &'static str,
 ) -> Result<(), Fault> {
   web::serve(address.into(), move |request| {
-    let answer = answer(&request, &shared, readiness);
-    async move { answer }
+    answer(request, Arc::clone(&shared), readiness)
   })
   .await
 }
 
-fn answer(request: &Request<Incoming>, shared: &Shared, readiness: &str) -> Response<Full<Bytes>> {
-  let path = request.uri().path();
+async fn answer(
+  request: Request<Incoming>,
+  shared: Arc<Shared>,
+  readiness: &'static str,
+) -> Response<Full<Bytes>> {
   if request.method() != Method::GET {
     return web::answer(StatusCode::METHOD_NOT_ALLOWED, "");
   }
-  if path == readiness {
-    let status = if shared.is_ready() {
-      StatusCode::OK
-    } else {
-      StatusCode::SERVICE_UNAVAILABLE
-    };
-    return web::answer(status, "");
+  match request.uri().path() {
+    METRICS => web::answer(StatusCode::OK, shared.counter.text()),
+    NEWS => tell_news(request.uri().query(), &shared),
+    STATE => dump(&shared).await,
+    path if path == readiness && shared.is_ready() => web::answer(StatusCode::OK, ""),
+    path if path == readiness => web::answer(StatusCode::SERVICE_UNAVAILABLE, ""),
+    _ => web::answer(StatusCode::NOT_FOUND, ""),
   }
-  if path != NEWS {
-    return web::answer(StatusCode::NOT_FOUND, "");
+}
+
+/// The state as the packet thread sees it.
+async fn dump(shared: &Shared) -> Response<Full<Bytes>> {
+  let (asker, state) = oneshot::channel();
+  shared.tell(Message::Dump(asker));
+  match tokio::time::timeout(ANSWER, state).await {
+    Ok(Ok(state)) => web::answer(StatusCode::OK, state.to_string()),
+    _ => web::answer(StatusCode::SERVICE_UNAVAILABLE, ""),
   }
-  let after = web::parameter(request.uri().query(), "after");
+}
+
+fn tell_news(query: Option<&str>, shared: &Shared) -> Response<Full<Bytes>> {
+  let after = web::parameter(query, "after");
   let Some(after) = after.and_then(|after| after.parse().ok()) else {
     return web::answer(StatusCode::BAD_REQUEST, "expected `after`, a revision");
   };
--- a/src/datagram/node/run.rs
+++ b/src/datagram/node/run.rs
@@ -31,93 +31,119 @@
 /// How long a stopping agent goes on, so that what it has just said is sent.
 const FAREWELL: Duration = Duration::from_millis(20);
 
-/// Runs a balancer until it is told to stop and callers have been led elsewhere.
+/// What a role is run with.
+struct Part<M, R> {
+  counter: Arc<Counter>,
+  farewell: Duration,
+  machine: M,
+  /// Where callers' packets arrive, or the upstream's.
+  packets: SocketAddrV4,
+  /// Reads the settings again.
+  reload: R,
+  role: &'static str,
+}
+
+/// Runs a balancer until it is told to stop and callers have been led elsewhere. On SIGHUP `reload`
+/// reads the settings again.
 pub fn balancer<C: Codec, S: Source>(
   settings: &Settings,
   codec: C,
   source: S,
+  reload: impl Fn() -> Result<Settings, Fault>,
 ) -> Result<(), Fault> {
   let counter = Arc::new(Counter::default());
-  let incarnation = rand::random();
-  let machine = balancer::Machine::new(
-    Instant::now(),
-    settings,
-    Tuning::default(),
-    codec,
-    incarnation,
-    Arc::clone(&counter),
-  );
-  run(
-    settings,
-    "balancer",
-    settings.callers,
-    machine,
-    source,
+  let (now, tuning, incarnation) = (Instant::now(), Tuning::default(), rand::random());
+  let counts = Arc::clone(&counter);
+  let part = Part {
     counter,
-    LINGER,
-  )
+    farewell: LINGER,
+    machine: balancer::Machine::new(now, settings, tuning, codec, incarnation, counts),
+    packets: settings.callers,
+    reload,
+    role: "balancer",
+  };
+  run(settings, source, part)
 }
 
-/// Runs an agent until it is told to stop.
+/// Runs an agent until it is told to stop. On SIGHUP `reload` reads the settings again.
 pub fn agent<C: Codec, S: Source>(
   settings: &Settings,
   upstream: Upstream,
   codec: C,
   source: S,
+  reload: impl Fn() -> Result<Settings, Fault>,
 ) -> Result<(), Fault> {
   let counter = Arc::new(Counter::default());
-  let incarnation = rand::random();
-  let outbound = upstream.outbound;
-  let machine = agent::Machine::new(
-    Instant::now(),
-    settings,
-    upstream,
-    Tuning::default(),
-    codec,
-    incarnation,
-    Arc::clone(&counter),
-  );
-  run(
-    settings, "agent", outbound, machine, source, counter, FAREWELL,
-  )
+  let (now, tuning, incarnation) = (Instant::now(), Tuning::default(), rand::random());
+  let counts = Arc::clone(&counter);
+  let packets = upstream.outbound;
+  let part = Part {
+    counter,
+    farewell: FAREWELL,
+    machine: agent::Machine::new(now, settings, upstream, tuning, codec, incarnation, counts),
+    packets,
+    reload,
+    role: "agent",
+  };
+  run(settings, source, part)
 }
 
-fn run<M: Machine + Send + 'static, S: Source>(
-  settings: &Settings,
-  role: &'static str,
-  packets: SocketAddrV4,
-  machine: M,
-  source: S,
-  counter: Arc<Counter>,
-  farewell: Duration,
-) -> Result<(), Fault> {
+fn run<M, R, S>(settings: &Settings, source: S, part: Part<M, R>) -> Result<(), Fault>
+where
+  M: Machine + Send + 'static,
+  R: Fn() -> Result<Settings, Fault>,
+  S: Source,
+{
   logging::start(&settings.log)?;
   log::info!(
-    role:% = role, address:% = settings.peers, data_centre:% = settings.data_centre;
+    role:% = part.role, address:% = settings.peers, data_centre:% = settings.data_centre,
+    first_start = settings.first_start, seeds = settings.seeds.len();
     "node: process starts."
   );
-  let mut process = Process::new(Arc::clone(&counter))?;
-  let sockets = Sockets::bind(settings.peers, packets)?;
+  let mut process = Process::new(Arc::clone(&part.counter))?;
+  let sockets = Sockets::bind(settings.peers, part.packets)?;
   let failed = |error: std::io::Error| Fault::new(Code::ChildFailed, error);
   let poll = Poll::new().map_err(failed)?;
   let waker = mio::Waker::new(poll.registry(), MESSAGES).map_err(failed)?;
   let (messages_in, messages) = channel::unbounded();
   let (questions_in, questions) = mpsc::unbounded_channel();
-  let shared = Arc::new(Shared::new(counter, messages_in, questions_in, waker));
-  let carrier = Carrier::new(machine, poll, sockets, messages, Arc::clone(&shared))?;
+  let shared = Arc::new(Shared::new(part.counter, messages_in, questions_in, waker));
+  let carrier = Carrier::new(part.machine, poll, sockets, messages, Arc::clone(&shared))?;
   start(&mut process, settings, source, &shared, carrier, questions)?;
   while process.wait()? == Signal::Reload {
-    log::info!("node: settings are looked at again.");
+    reload_settings(settings, &part.reload, &shared);
   }
-  log::info!(role:% = role; "node: process stops as planned.");
+  log::info!(role:% = part.role; "node: process stops as planned.");
   shared.stopping.store(true, Ordering::Relaxed);
   shared.tell(Message::Stop);
-  thread::sleep(farewell);
+  thread::sleep(part.farewell);
   shared.tell(Message::End);
   logging::flush();
   Ok(())
 }
 
+/// Takes from new settings what can change while the process runs.
+fn reload_settings(
+  settings: &Settings,
+  reload: &impl Fn() -> Result<Settings, Fault>,
+  shared: &Shared,
+) {
+  match reload() {
+    Ok(new) => {
+      let same = Settings {
+        first_start: settings.first_start,
+        seeds: settings.seeds.clone(),
+        ..new.clone()
+      } == *settings;
+      log::info!(seeds = new.seeds.len(), restart_wanted = !same; "node: settings are read again.");
+      shared.tell(Message::Seeds(new.seeds));
+    }
+    Err(fault) => {
+      log::warn!(fault:% = fault; "node: settings are not valid and stay as they were.");
+    }
+  }
+}
+
 fn start<M: Machine + Send + 'static, S: Source>(
   process: &mut Process,
   settings: &Settings,
--- a/src/datagram/node/shared.rs
+++ b/src/datagram/node/shared.rs
@@ -12,16 +12,20 @@
       atomic::{AtomicBool, Ordering},
     },
   },
-  tokio::sync::{mpsc, watch},
+  tokio::sync::{mpsc, oneshot, watch},
 };
 
 /// What the control thread tells the carrier.
 #[derive(Debug)]
 pub enum Message {
+  /// Somebody wants to know the state.
+  Dump(oneshot::Sender<serde_json::Value>),
   /// The carrier is to end.
   End,
   /// News from the platform or a peer.
   News(Origin, News),
+  /// The settings name other seeds.
+  Seeds(Vec<SocketAddrV4>),
   /// The process is to stop as planned.
   Stop,
   /// A peer could not be asked.
--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -5,6 +5,7 @@
     frame::{NEWS_MAX, Role, Status},
   },
   crate::Revision,
+  serde_json::json,
   std::{
     collections::BTreeMap,
     net::SocketAddrV4,
@@ -229,6 +230,51 @@
     }
   }
 
+  /// What is known of the platform and of the peers, for an operator.
+  pub fn dump(&self, now: Instant) -> serde_json::Value {
+    let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+    let peers = self.peers.iter();
+    let peers = peers.map(|(address, peer)| {
+      json!({
+        "address": address.to_string(),
+        "balancer": peer.balancer,
+        "complete": peer.complete,
+        "heard_ms": peer.heard.map(age),
+        "stopping": peer.stopping,
+      })
+    });
+    let entries = self.catalog.entries();
+    let targets = entries.map(|(id, entry)| {
+      json!({
+        "gone_ms": entry.gone.map(age),
+        "id": id.to_string(),
+        "revision": entry.revision,
+        "target": entry.target.as_ref(),
+      })
+    });
+    json!({
+      "address": self.address.to_string(),
+      "complete": self.catalog.complete(),
+      "confirmed_ms": self.confirmed.map(age),
+      "incarnation": self.incarnation,
+      "peers": peers.collect::<Vec<_>>(),
+      "reader": self.is_reader(now),
+      "stopping": self.stopping,
+      "targets": targets.collect::<Vec<_>>(),
+      "version": self.catalog.version(),
+    })
+  }
+
+  /// Takes other seeds.
+  pub fn reseed(&mut self, now: Instant, seeds: &[SocketAddrV4]) {
+    for seed in seeds.iter().filter(|seed| **seed != self.address) {
+      self
+        .peers
+        .entry(*seed)
+        .or_insert_with(|| Peer::new(now, true));
+    }
+  }
+
   /// The process is about to stop.
   pub fn stop(&mut self, now: Instant) {
     self.stopping = true;
--- a/tests/datagram/world.rs
+++ b/tests/datagram/world.rs
@@ -350,8 +350,8 @@
       Item::Packet(host, mut bytes) => self.step(host, Event::Packet(&mut bytes)),
       Item::Read(host) => self.read(host),
       Item::Tick(host) => self.tick(host),
-      Item::ToCaller(packet) => self.to_caller(packet),
-      Item::ToUpstream(host, packet) => self.to_upstream(host, packet),
+      Item::ToCaller(packet) => self.caller_gets(packet),
+      Item::ToUpstream(host, packet) => self.upstream_gets(host, packet),
     }
   }
 
@@ -450,7 +450,7 @@
   }
 
   /// The fabric hands a caller's packet to any balancer, by a hash over those that are there.
-  fn from_caller(&mut self, packet: Packet) {
+  fn spray(&mut self, packet: Packet) {
     let there = self.nodes.iter();
     let there = there.filter(|(_, node)| matches!(node, Node::Balancer(_)));
     let there = there.map(|(host, _)| *host).collect::<Vec<_>>();
@@ -478,11 +478,11 @@
       None => Packet::open(flow, asked.tries - 1),
       Some(sequence) => Packet::data(flow, 2 + asked.answered, sequence + 1),
     };
-    self.from_caller(packet);
+    self.spray(packet);
     self.put(TRIES.1, Item::Caller(flow, timer));
   }
 
-  fn to_caller(&mut self, packet: Packet) {
+  fn caller_gets(&mut self, packet: Packet) {
     let flow = packet.flow;
     let Some(asked) = self.asked.get_mut(&flow) else {
       return;
@@ -501,9 +501,8 @@
         return;
       }
       Kind::Open if asked.sequence.is_none() => asked.sequence = Some(packet.sequence),
-      Kind::Open => return,
       Kind::Data if packet.acknowledges == 2 + asked.answered => asked.answered += 1,
-      Kind::Data => return,
+      Kind::Data | Kind::Open => return,
     }
     asked.tries = 0;
     if asked.answered >= asked.wanted {
@@ -516,7 +515,7 @@
     self.put(0, Item::Caller(flow, timer));
   }
 
-  fn to_upstream(&mut self, host: u8, packet: Packet) {
+  fn upstream_gets(&mut self, host: u8, packet: Packet) {
     let flow = packet.flow;
     let calm = self.is_calm();
     let Some(beside) = self.beside.get_mut(&host).filter(|beside| beside.lives) else {
--- a/tests/support/child.rs
+++ b/tests/support/child.rs
@@ -28,7 +28,7 @@
     let process = Command::new(program)
       .args(arguments)
       .stdin(Stdio::null())
-      .stdout(Stdio::null())
+      .stdout(file.try_clone().expect("log file"))
       .stderr(file)
       .spawn()
       .expect("program starts");
