Tell processes of other data centres less often

Change: a status goes to other data centres every 0.7 s, to far agents every 2 s, and names four balancers in turn instead of sixteen.

--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -39,6 +39,6 @@
   record::{News, Record},
   service::Service,
   settings::{Settings, Tuning, Upstream},
-  spread::Spread,
+  spread::{Agents, Spread},
   target::Target,
 };
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -81,14 +81,7 @@
     incarnation: u32,
     counter: Arc<Counter>,
   ) -> Self {
-    let spread = Spread::new(
-      now,
-      settings.peers,
-      false,
-      incarnation,
-      &settings.seeds,
-      tuning,
-    );
+    let spread = Spread::new(now, settings, false, incarnation, tuning);
     let forgetful = if settings.first_start {
       Duration::ZERO
     } else {
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -65,14 +65,7 @@
     incarnation: u32,
     counter: Arc<Counter>,
   ) -> Self {
-    let spread = Spread::new(
-      now,
-      settings.peers,
-      true,
-      incarnation,
-      &settings.seeds,
-      tuning,
-    );
+    let spread = Spread::new(now, settings, true, incarnation, tuning);
     Self {
       codec,
       counter,
@@ -534,8 +527,10 @@
       self.expired = now;
       self.expire(now);
     }
-    let agents = self.targets.agents();
-    self.spread.tick(now, Role::Balancer, &agents, out);
+    if now >= self.spread.deadline() {
+      let agents = self.targets.agents();
+      self.spread.tick(now, Role::Balancer, &agents, out);
+    }
   }
 
   fn unanswered(&mut self, now: Instant, deadline: Instant, flow: Flow, out: &mut Outbox) {
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -2,7 +2,7 @@
   super::place::Tried,
   crate::{
     config::Presence,
-    datagram::{Catalog, Entry, Load, Service, Tuning, frame::Status, load::wait_ms},
+    datagram::{Agents, Catalog, Entry, Load, Service, Tuning, frame::Status, load::wait_ms},
   },
   serde_json::json,
   std::{
@@ -114,10 +114,17 @@
   }
 
   /// The agents of all listed targets.
-  pub fn agents(&self) -> Vec<SocketAddrV4> {
+  pub fn agents(&self) -> Agents {
+    let mut agents = Agents::default();
     let listed = self.by_agent.iter();
-    let listed = listed.filter(|(_, seen)| seen.gone.is_none());
-    listed.map(|(agent, _)| *agent).collect()
+    for (agent, seen) in listed.filter(|(_, seen)| seen.gone.is_none()) {
+      if seen.data_centre == self.data_centre {
+        agents.near.push(*agent);
+      } else {
+        agents.far.push(*agent);
+      }
+    }
+    agents
   }
 
   /// The target for a new flow: the one where it waits the least, for whoever is near first; with
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -66,6 +66,8 @@
   pub confirmed_ms: Option<u32>,
   /// Balancers that it hears of.
   pub balancers: Vec<SocketAddrV4>,
+  /// A hash of the name of its data centre.
+  pub data_centre: u32,
   /// This run of the process.
   pub incarnation: u32,
   /// What it is.
--- a/src/datagram/settings.rs
+++ b/src/datagram/settings.rs
@@ -93,6 +93,11 @@
   pub expected: Duration,
   /// How long a flow that was reset is remembered.
   pub dead: Duration,
+  /// How often a process of another data centre is told at most: between data centres a byte has a
+  /// price. It has to be told more often than `silent`.
+  pub far: Duration,
+  /// How often an agent in another data centre is told by a balancer; it hears news at once.
+  pub far_agent: Duration,
   /// How many flows are remembered.
   pub flows_max: usize,
   /// How long a flow without packets is remembered where the configuration does not say.
@@ -129,6 +134,8 @@
       crossing: (30.0, 12.0),
       dead: Duration::from_secs(3),
       expected: Duration::from_millis(300),
+      far: Duration::from_millis(700),
+      far_agent: Duration::from_secs(2),
       flows_max: 200_000,
       idle: Duration::from_mins(1),
       open_wait: Duration::from_millis(40),
--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -1,6 +1,6 @@
 use {
   super::{
-    Catalog, Change, Frame, News, Outbox, Tuning,
+    Catalog, Change, Frame, News, Outbox, Settings, Tuning,
     event::Origin,
     frame::{NEWS_MAX, Role, Status},
   },
@@ -15,7 +15,7 @@
 };
 
 /// How many balancers a status names.
-const NAMED_MAX: usize = 16;
+const NAMED_MAX: usize = 4;
 
 /// How long a balancer that is not heard of is still told, so that it finds its peers again when
 /// it comes back.
@@ -27,11 +27,22 @@
 /// How long a question to a peer may take before another is asked.
 const PULL: Duration = Duration::from_millis(500);
 
+/// The agents of listed targets, by where they stand.
+#[derive(Clone, Debug, Default)]
+pub struct Agents {
+  /// Those of other data centres.
+  pub far: Vec<SocketAddrV4>,
+  /// Those of this data centre.
+  pub near: Vec<SocketAddrV4>,
+}
+
 /// What is known of another process.
 #[derive(Clone, Debug)]
 struct Peer {
   balancer: bool,
   complete: Revision,
+  /// The hash of its data centre's name, once it has told.
+  data_centre: Option<u32>,
   heard: Option<Instant>,
   since: Instant,
   stopping: bool,
@@ -43,6 +54,7 @@
     Self {
       balancer,
       complete: Revision::default(),
+      data_centre: None,
       heard: None,
       since: now,
       stopping: false,
@@ -60,10 +72,14 @@
   confirmed: Option<Instant>,
   /// Whether this process is a balancer.
   balancer: bool,
+  data_centre: u32,
+  /// When agents of other data centres are told next.
+  far_agents: Instant,
   incarnation: u32,
   next: Instant,
   peers: BTreeMap<SocketAddrV4, Peer>,
   pull: Option<(SocketAddrV4, Instant)>,
+  started: Instant,
   stopping: bool,
   tuning: Tuning,
   version: u64,
@@ -71,25 +87,28 @@
 }
 
 impl Spread {
-  /// The spread of the process at `address`, which knows balancers at `seeds`.
+  /// The spread of a process with these settings.
   pub fn new(
     now: Instant,
-    address: SocketAddrV4,
+    settings: &Settings,
     balancer: bool,
     incarnation: u32,
-    seeds: &[SocketAddrV4],
     tuning: Tuning,
   ) -> Self {
-    let others = seeds.iter().filter(|seed| **seed != address);
+    let address = settings.peers;
+    let others = settings.seeds.iter().filter(|seed| **seed != address);
     Self {
       address,
       balancer,
       catalog: Catalog::default(),
       confirmed: None,
+      data_centre: digest(&settings.data_centre),
+      far_agents: now,
       incarnation,
       next: now,
       peers: others.map(|seed| (*seed, Peer::new(now, true))).collect(),
       pull: None,
+      started: now,
       stopping: false,
       tuning,
       version: 0,
@@ -220,6 +239,7 @@
     if let Some(peer) = self.peers.get_mut(&from) {
       peer.balancer = balancer;
       peer.complete = status.complete;
+      peer.data_centre = Some(status.data_centre);
       peer.stopping = status.stopping;
     }
     if !self.is_behind(now, from, status.complete)
@@ -289,40 +309,45 @@
   }
 
   /// Tells of this process where that is due; `role` is what it is, `agents` further receivers.
-  pub fn tick(&mut self, now: Instant, role: Role, agents: &[SocketAddrV4], out: &mut Outbox) {
+  pub fn tick(&mut self, now: Instant, role: Role, agents: &Agents, out: &mut Outbox) {
     if now < self.next {
       return;
     }
-    self.next = now + self.tuning.status;
-    self.tell(now, role, agents, out);
+    self.tell_now(now, role, out);
+    let frame = Frame::Status(self.own_status(now, Role::Balancer));
+    for agent in &agents.near {
+      out.frame(*agent, &frame, &[]);
+    }
+    if now < self.far_agents {
+      return;
+    }
+    self.far_agents = now + self.tuning.far_agent;
+    for agent in &agents.far {
+      out.frame(*agent, &frame, &[]);
+    }
   }
 
-  /// Tells balancers of this process now, whether it is due or not.
+  /// Tells balancers of this process now: those near at each call, the others less often.
   pub fn tell_now(&mut self, now: Instant, role: Role, out: &mut Outbox) {
     self.next = now + self.tuning.status;
-    self.tell(now, role, &[], out);
-  }
-
-  /// Tells of this process now.
-  pub fn tell(&mut self, now: Instant, role: Role, agents: &[SocketAddrV4], out: &mut Outbox) {
     let frame = Frame::Status(self.own_status(now, role));
-    let silent = self.tuning.silent;
+    let tuning = self.tuning;
     for (address, peer) in &mut self.peers {
-      let quiet = peer
-        .heard
-        .is_none_or(|heard| now.saturating_duration_since(heard) >= silent);
-      let told = peer
-        .told
-        .is_some_and(|told| now.saturating_duration_since(told) < TOLD_EVERY);
-      if !peer.balancer || (quiet && told) {
+      let since = |at: Instant| now.saturating_duration_since(at);
+      let quiet = peer.heard.is_none_or(|heard| since(heard) >= tuning.silent);
+      let near = peer.data_centre == Some(self.data_centre);
+      let pause = match (quiet, near) {
+        (true, _) => TOLD_EVERY,
+        (false, true) => Duration::ZERO,
+        (false, false) => tuning.far,
+      };
+      let told = peer.told.is_some_and(|told| since(told) < pause);
+      if !peer.balancer || told {
         continue;
       }
       peer.told = Some(now);
       out.frame(*address, &frame, &[]);
     }
-    for agent in agents {
-      out.frame(*agent, &frame, &[]);
-    }
   }
 
   /// What is to be asked of whom, once.
@@ -343,11 +368,16 @@
 
   fn own_status(&self, now: Instant, role: Role) -> Status {
     let mut balancers = self.balancers(now);
+    // Each status names others, so that after a few all are named.
+    let turn = now.saturating_duration_since(self.started).as_millis() / 100;
+    let first = turn as usize % balancers.len().max(1);
+    balancers.rotate_left(first);
     balancers.truncate(NAMED_MAX);
     Status {
       balancers,
       complete: self.catalog.complete(),
       confirmed_ms: self.confirmed(now).map(|age| age.as_millis() as u32),
+      data_centre: self.data_centre,
       incarnation: self.incarnation,
       role,
       stopping: self.stopping,
@@ -383,6 +413,11 @@
   }
 }
 
+/// A hash of a name that is the same in every process.
+fn digest(name: &str) -> u32 {
+  xxh3_64(name.as_bytes()) as u32
+}
+
 fn rank(address: SocketAddrV4) -> u64 {
   xxh3_64(&address.ip().octets())
 }
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -41,6 +41,7 @@
     balancers: vec![],
     complete: Revision(1),
     confirmed_ms: None,
+    data_centre: 0,
     incarnation,
     role: Role::Agent(load),
     stopping: false,
--- a/tests/datagram/spread.rs
+++ b/tests/datagram/spread.rs
@@ -1,11 +1,11 @@
 //! Who reads the platform, and how the others hear of it.
 
 use {
-  crate::support::{configured, news, peer},
+  crate::support::{configured, news, peer, settings},
   fallwell::{
     Revision,
     datagram::{
-      Event, Frame, Machine, Origin, Outbox, Spread, Tuning, Version,
+      Event, Frame, Machine, Origin, Outbox, Settings, Spread, Tuning, Version,
       frame::{Role, Status},
     },
   },
@@ -13,8 +13,11 @@
 };
 
 fn spread(now: Instant, host: u8) -> Spread {
-  let seeds = [peer(1), peer(2), peer(3)];
-  Spread::new(now, peer(host), true, 1, &seeds, Tuning::default())
+  let settings = Settings {
+    seeds: (1..=3).map(peer).collect(),
+    ..settings(host)
+  };
+  Spread::new(now, &settings, true, 1, Tuning::default())
 }
 
 fn status(complete: u64, confirmed_ms: Option<u32>) -> Status {
@@ -22,6 +25,7 @@
     balancers: vec![],
     complete: Revision(complete),
     confirmed_ms,
+    data_centre: 0,
     incarnation: 1,
     role: Role::Balancer,
     stopping: false,
@@ -65,7 +69,7 @@
 #[test]
 fn an_agent_never_reads() {
   let now = Instant::now();
-  let spread = Spread::new(now, peer(1), false, 1, &[], Tuning::default());
+  let spread = Spread::new(now, &settings(1), false, 1, Tuning::default());
   assert!(!spread.is_reader(now));
 }
 
@@ -129,3 +133,41 @@
   let now = balancer.now;
   assert!(!balancer.machine.spread().is_reader(now));
 }
+
+#[test]
+fn a_process_of_another_data_centre_is_told_less_often() {
+  let now = Instant::now();
+  let mut spread = spread(now, 1);
+  let near = Status {
+    data_centre: own_data_centre(),
+    ..status(0, None)
+  };
+  let mut told = [0, 0];
+  for step in 0..20 {
+    let now = now + Duration::from_millis(100 * step);
+    spread.status(now, peer(2), &near);
+    spread.status(now, peer(3), &status(0, None));
+    let mut out = Outbox::default();
+    spread.tell_now(now, Role::Balancer, &mut out);
+    for (count, host) in told.iter_mut().zip([2, 3]) {
+      *count += out
+        .datagrams()
+        .iter()
+        .filter(|sent| sent.to == peer(host))
+        .count();
+    }
+  }
+  assert_eq!(told, [20, 3]);
+}
+
+/// What a process says of its data centre.
+fn own_data_centre() -> u32 {
+  let now = Instant::now();
+  let mut out = Outbox::default();
+  spread(now, 1).tell_now(now, Role::Balancer, &mut out);
+  let (frame, _) = Frame::decode(out.bytes(&out.datagrams()[0])).expect("frame");
+  let Frame::Status(status) = frame else {
+    panic!("{frame:?}");
+  };
+  status.data_centre
+}
