Split the machines by what they do, and log what decided

Change: opening and searching at the balancer, delivery and answers at the agent; each line of a decision carries its inputs with age or version. No decision changed.

--- a/src/datagram/agent.rs
+++ b/src/datagram/agent.rs
@@ -1,5 +1,7 @@
 //! What an agent does with the packets of its upstream's flows, which it sees both ways.
 
+mod answers;
+mod delivery;
 mod held;
 mod machine;
 mod work;
--- /dev/null
+++ b/src/datagram/agent/answers.rs
@@ -0,0 +1,109 @@
+//! What an agent does with the packets of its upstream.
+
+use {
+  super::{
+    held::{Held, State},
+    machine::Machine,
+  },
+  crate::{
+    Code, Revision,
+    datagram::{Codec, Frame, Head, Outbox, Via, frame::Refusal},
+  },
+  std::{net::SocketAddrV4, time::Instant},
+};
+
+impl<C: Codec> Machine<C> {
+  /// A packet came from the upstream.
+  pub(super) fn packet(
+    &mut self,
+    now: Instant,
+    packet: &mut [u8],
+    out: &mut Outbox,
+  ) -> Result<(), Code> {
+    let head = self.codec.read_from_upstream(packet)?;
+    if head.returned {
+      self.codec.restore(packet);
+      self.returned(now, &head, packet, out);
+      return Ok(());
+    }
+    self.work.heard();
+    self.answered(now, &head, packet.len(), out);
+    let to = SocketAddrV4::new(*head.flow.caller.ip(), self.port);
+    out.packet(Via::Callers, to, packet);
+    Ok(())
+  }
+
+  /// Learns from a packet on its way to a caller.
+  pub(super) fn answered(&mut self, now: Instant, head: &Head, length: usize, out: &mut Outbox) {
+    let flow = head.flow;
+    let load = self.load(now);
+    let entry = self
+      .flows
+      .entry(flow)
+      .or_insert(Held::new(now, State::Open, None));
+    entry.seen = now;
+    entry.bytes = entry.bytes.saturating_add(length as u32);
+    if head.opens {
+      entry.state = State::Opening(Some(head.sequence));
+      if let Some(balancer) = entry.balancer {
+        out.frame(balancer, &Frame::Opened(flow, load), &[]);
+      }
+      return;
+    }
+    if let (State::Tested { .. }, Some(balancer)) = (entry.state, entry.balancer) {
+      out.frame(balancer, &Frame::Found(flow), &[]);
+    }
+    if !matches!(entry.state, State::Opening(_)) {
+      entry.state = State::Open;
+    }
+    if head.data == 0 && !head.resets && !head.ends {
+      return;
+    }
+    if let Some(since) = entry.waits.take() {
+      if head.data > 0 {
+        self.work.moved(f64::from(entry.bytes));
+        entry.bytes = 0;
+        let time = now.saturating_duration_since(since);
+        self.counter.observe("answer", time);
+        self.work.answered(time, entry.ahead, self.slots);
+      } else {
+        self.work.ended();
+      }
+    }
+  }
+
+  /// The upstream sent a packet back.
+  pub(super) fn returned(&mut self, now: Instant, head: &Head, packet: &[u8], out: &mut Outbox) {
+    let flow = head.flow;
+    self.work.heard();
+    let entry = self.flows.get(&flow).copied();
+    if entry.is_some_and(|entry| entry.waits.is_some() || entry.expected) {
+      self.work.ended();
+    }
+    log::info!(
+      flow:% = flow, opens = head.opens, known = matches!(entry.map(|entry| entry.state), Some(State::Open)), to:? = entry.and_then(|entry| entry.balancer);
+      "agent: upstream does not hold the flow."
+    );
+    let balancer = entry.and_then(|entry| entry.balancer);
+    if head.opens {
+      self.flows.remove(&flow);
+      if let Some(balancer) = balancer {
+        let frame = Frame::Refused(flow, Refusal::Full, self.load(now));
+        out.frame(balancer, &frame, &[]);
+      }
+      return;
+    }
+    self
+      .flows
+      .insert(flow, Held::new(now, State::Absent, balancer));
+    let wanted = !matches!(
+      entry.map(|entry| entry.state),
+      Some(State::Tested { wanted: false, .. })
+    );
+    if let Some(balancer) = balancer {
+      let packet = if wanted { packet } else { &[] };
+      let frame = Frame::Absent(flow, self.known(now, Revision::default()));
+      out.frame(balancer, &frame, packet);
+    }
+  }
+}
--- /dev/null
+++ b/src/datagram/agent/delivery.rs
@@ -0,0 +1,218 @@
+//! What an agent does with the packets of callers.
+
+use {
+  super::{
+    held::{Held, State},
+    machine::{Carried, Machine, PAST_MAX},
+  },
+  crate::{
+    Code, Revision,
+    datagram::{
+      Codec, Flow, Frame, Outbox, Via,
+      frame::{Known, Purpose, Refusal},
+    },
+  },
+  std::time::{Duration, Instant},
+};
+
+impl<C: Codec> Machine<C> {
+  pub(super) fn carry(
+    &mut self,
+    now: Instant,
+    carried: &Carried,
+    service: u64,
+    out: &mut Outbox,
+  ) -> Result<(), Code> {
+    self.spread.heard(now, carried.from, true);
+    if service != self.upstream.service.digest() {
+      self.turn_away(now, carried, Refusal::Service, out);
+      return Err(Code::FrameWrongService);
+    }
+    if carried.head.opens {
+      self.open(now, carried, out);
+    } else {
+      self.deliver(now, carried, out);
+    }
+    Ok(())
+  }
+
+  pub(super) fn open(&mut self, now: Instant, carried: &Carried, out: &mut Outbox) {
+    let version = carried.version;
+    let flow = carried.head.flow;
+    let catalog = self.spread.catalog();
+    let dropped =
+      catalog.version() > version && catalog.service(&flow.route) != Some(&self.upstream.service);
+    if dropped {
+      log::info!(
+        flow:% = flow, version:% = catalog.version(), sender:% = version;
+        "agent: opening packet is for a dropped route."
+      );
+      self.counter.count(Code::PacketUnroutable);
+      return;
+    }
+    if self.leaving {
+      self.turn_away(now, carried, Refusal::Leaving, out);
+      return;
+    }
+    if self.is_too_long(&flow) && !self.flows.contains_key(&flow) {
+      self.turn_away(now, carried, Refusal::Busy, out);
+      return;
+    }
+    let entry = self
+      .flows
+      .entry(flow)
+      .or_insert(Held::new(now, State::Opening(None), None));
+    if matches!(entry.state, State::Absent | State::Tested { .. }) {
+      entry.state = State::Opening(None);
+    }
+    entry.balancer = Some(carried.from);
+    entry.seen = now;
+    if !entry.expected && entry.waits.is_none() {
+      entry.expected = true;
+      self.work.begun();
+      let until = now + self.tuning.expected;
+      self.expected.push_back((until, flow));
+    }
+    self.work.asked(now);
+    out.packet(Via::Upstream, self.upstream.address, carried.packet);
+  }
+
+  /// Takes a packet of a flow that is not being opened.
+  pub(super) fn deliver(&mut self, now: Instant, carried: &Carried, out: &mut Outbox) {
+    let flow = carried.head.flow;
+    let forgetful = now < self.forgetful_until;
+    let Some(entry) = self.flows.get_mut(&flow) else {
+      if forgetful {
+        self.test(now, carried, out);
+      } else {
+        absent(carried, self.known(now, carried.complete), out);
+      }
+      return;
+    };
+    let opened_here = |sequence: u32| {
+      let distance = carried.head.acknowledges.wrapping_sub(sequence);
+      distance <= 1
+    };
+    match entry.state {
+      State::Opening(Some(sequence)) if opened_here(sequence) => entry.state = State::Open,
+      State::Opening(_) | State::Absent => {
+        absent(carried, self.known(now, carried.complete), out);
+        return;
+      }
+      State::Open | State::Tested { .. } => {}
+    }
+    entry.seen = now;
+    entry.balancer = Some(carried.from);
+    entry.bytes = entry.bytes.saturating_add(carried.packet.len() as u32);
+    if carried.head.data > 0 && entry.waits.is_none() {
+      entry.waits = Some(now);
+      if !std::mem::take(&mut entry.expected) {
+        self.work.begun();
+      }
+      entry.ahead = self.work.under_way() - 1;
+    }
+    let tested = matches!(entry.state, State::Tested { .. });
+    if carried.purpose == Purpose::Search && !tested {
+      out.frame(carried.from, &Frame::Found(flow), &[]);
+    }
+    out.packet(Via::Upstream, self.upstream.address, carried.packet);
+  }
+
+  /// This run does not know the flow, but its upstream may: it is given the packet and sends it
+  /// back if it does not.
+  pub(super) fn test(&mut self, now: Instant, carried: &Carried, out: &mut Outbox) {
+    let flow = carried.head.flow;
+    log::info!(flow:% = flow, from:% = carried.from; "agent: flow is unknown and tested.");
+    let deadline = now + self.tuning.test;
+    self.tests.push_back((deadline, flow));
+    self.flows.insert(
+      flow,
+      Held::new(
+        now,
+        State::Tested {
+          deadline,
+          wanted: carried.purpose == Purpose::Deliver,
+        },
+        Some(carried.from),
+      ),
+    );
+    out.packet(Via::Upstream, self.upstream.address, carried.packet);
+  }
+
+  /// The upstream did not send a tested packet back: it has the flow.
+  pub(super) fn kept(&mut self, flow: Flow, deadline: Instant, out: &mut Outbox) {
+    let Some(entry) = self.flows.get_mut(&flow) else {
+      return;
+    };
+    if !matches!(entry.state, State::Tested { deadline: own, .. } if own == deadline) {
+      return;
+    }
+    entry.state = State::Open;
+    log::info!(flow:% = flow; "agent: tested flow was not sent back.");
+    if let Some(balancer) = entry.balancer {
+      out.frame(balancer, &Frame::Found(flow), &[]);
+    }
+  }
+
+  pub(super) fn turn_away(
+    &mut self,
+    now: Instant,
+    carried: &Carried,
+    refusal: Refusal,
+    out: &mut Outbox,
+  ) {
+    let flow = carried.head.flow;
+    if carried.purpose == Purpose::Open {
+      let load = self.load(now);
+      log::info!(
+        flow:% = flow, why:? = refusal, work = load.work, service_ms = load.service_ms,
+        slots = self.slots, complete:% = self.spread.catalog().complete();
+        "agent: flow is not opened."
+      );
+      let frame = Frame::Refused(flow, refusal, load);
+      out.frame(carried.from, &frame, &[]);
+    } else {
+      absent(carried, self.known(now, carried.complete), out);
+    }
+  }
+
+  /// Whether a new flow's request would be answered too late.
+  pub(super) fn is_too_long(&self, flow: &Flow) -> bool {
+    let Some(route) = self.spread.catalog().route(&flow.route) else {
+      return false;
+    };
+    let objective_ms = route.objective.as_secs_f64() * 1000.0;
+    self.work.wait_ms(self.slots) > objective_ms * self.tuning.wait_part
+  }
+
+  /// What is known here of where else a flow of this service may be.
+  pub(super) fn known(&self, now: Instant, asker: Revision) -> Known {
+    let same = asker == self.spread.catalog().complete();
+    let entries = self.spread.catalog().entries();
+    let past = entries.filter_map(|(_, entry)| {
+      let age = match entry.gone {
+        Some(gone) => now.saturating_duration_since(gone),
+        None if same => return None,
+        None => Duration::ZERO,
+      };
+      let target = &entry.target;
+      let counts =
+        target.service == self.upstream.service && target.address != self.upstream.address;
+      counts.then_some((target.address, age.as_millis() as u32))
+    });
+    Known {
+      complete: self.spread.catalog().complete(),
+      past: past.take(PAST_MAX).collect(),
+    }
+  }
+}
+
+/// Tells a balancer that a flow is not here.
+fn absent(carried: &Carried, known: Known, out: &mut Outbox) {
+  let packet = match carried.purpose {
+    Purpose::Deliver => carried.packet,
+    Purpose::Open | Purpose::Search => &[],
+  };
+  let frame = Frame::Absent(carried.head.flow, known);
+  out.frame(carried.from, &frame, packet);
+}
--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -2,8 +2,10 @@
 //! are, and searches for those that it does not know.
 
 mod machine;
+mod opening;
 mod place;
 mod search;
+mod searching;
 mod targets;
 
 pub use machine::Machine;
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -127,6 +127,12 @@
     agents
   }
 
+  /// How old the last word of an agent is, in milliseconds.
+  pub fn age_ms(&self, now: Instant, agent: SocketAddrV4) -> Option<u64> {
+    let heard = self.by_agent.get(&agent)?.heard?;
+    Some(now.saturating_duration_since(heard).as_millis() as u64)
+  }
+
   /// The target for a new flow: the one where it waits the least, for whoever is near first; with
   /// the time until it would be answered there.
   pub fn choose(&self, now: Instant, service: &Service, tried: &Tried) -> Option<Choice> {
