Pass over targets that answer far too soon

Ruled out: reading the answers (the content of a flow is not ours); leaving such targets out (the rest could drown; one with a median of others is rarely wrong for long). Change: a target below a quarter of its service's median time costs 150 ms more; a measure older than 3 s is forgotten, so that it gets another chance. Two tests that failed first.

--- a/src/datagram/agent/answers.rs
+++ b/src/datagram/agent/answers.rs
@@ -36,6 +36,7 @@
   /// Learns from a packet on its way to a caller.
   pub(super) fn answered(&mut self, now: Instant, head: &Head, length: usize, out: &mut Outbox) {
     let flow = head.flow;
+    self.work.forget(now);
     let load = self.load(now);
     let entry = self
       .flows
@@ -65,7 +66,7 @@
         entry.bytes = 0;
         let time = now.saturating_duration_since(since);
         self.counter.observe("answer", time);
-        self.work.answered(time, entry.ahead, self.slots);
+        self.work.answered(now, time, entry.ahead, self.slots);
       } else {
         self.work.ended();
       }
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -235,6 +235,7 @@
       self.expired = now;
       self.expire(now);
     }
+    self.work.forget(now);
     let load = self.load(now);
     let role = Role::Agent(load);
     let (reported, before) = self.reported;
--- a/src/datagram/agent/work.rs
+++ b/src/datagram/agent/work.rs
@@ -9,11 +9,16 @@
 /// An upstream that leaves opening packets unanswered for so long does not serve.
 const SILENT: Duration = Duration::from_millis(60);
 
+/// How long a measure counts without a newer one.
+const MEASURED: Duration = Duration::from_secs(3);
+
 /// What an upstream has to do, as its agent counts it.
 #[derive(Debug, Default)]
 pub struct Work {
   bytes: f64,
   samples: u32,
+  /// When the last request was answered.
+  measured: Option<Instant>,
   /// Since when an opening packet is unanswered.
   silent: Option<Instant>,
   service_ms: f64,
@@ -32,7 +37,9 @@
   }
 
   /// A request was answered after `time`, when `ahead` others were there before it.
-  pub fn answered(&mut self, time: Duration, ahead: u16, slots: u16) {
+  pub fn answered(&mut self, now: Instant, time: Duration, ahead: u16, slots: u16) {
+    self.forget(now);
+    self.measured = Some(now);
     let slots = f64::from(slots);
     let queue = (f64::from(ahead) + 1.0 - slots).max(0.0);
     let ms = time.as_secs_f64() * 1000.0 / (1.0 + queue / slots);
@@ -47,6 +54,17 @@
     wait_ms(self.service_ms, self.under_way, slots)
   }
 
+  /// Forgets what was measured long ago, so that a target which was given nothing for what it did
+  /// gets another chance.
+  pub fn forget(&mut self, now: Instant) {
+    let old = |at: Instant| now.saturating_duration_since(at) >= MEASURED;
+    if self.measured.is_some_and(old) {
+      self.measured = None;
+      self.samples = 0;
+      self.service_ms = 0.0;
+    }
+  }
+
   /// A flow has ended that moved so many bytes in so many requests.
   pub fn moved(&mut self, bytes: f64) {
     self.bytes = blend(self.bytes, bytes);
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -5,6 +5,7 @@
     datagram::{Agents, Catalog, Entry, Load, Service, Tuning, frame::Status, load::wait_ms},
   },
   serde_json::json,
+  smallvec::SmallVec,
   std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddrV4,
@@ -86,6 +87,16 @@
   pub wait_ms: f64,
 }
 
+/// A target whose answers take less than this part of what is typical of its service most likely
+/// fails them: an error is answered at once.
+const HASTY_PART: f64 = 0.25;
+
+/// What a new flow would rather wait than go there, in milliseconds.
+const HASTY_MS: f64 = 150.0;
+
+/// How many targets have to be known for one to be told from the others.
+const TYPICAL_OF: usize = 3;
+
 /// The targets that a balancer knows.
 #[derive(Debug)]
 pub struct Targets {
@@ -136,6 +147,7 @@
   /// The target for a new flow: the one where it waits the least, for whoever is near first; with
   /// the time until it would be answered there.
   pub fn choose(&self, now: Instant, service: &Service, tried: &Tried) -> Option<Choice> {
+    let typical_ms = self.typical_ms(service);
     let agents = self.services.get(service)?.iter();
     let open = agents.filter(|agent| !tried.contains(agent));
     let costs = open.filter_map(|agent| {
@@ -143,7 +155,7 @@
       if seen.service != *service {
         return None;
       }
-      let cost = self.cost(now, seen)?;
+      let cost = self.cost(now, seen, typical_ms)?;
       Some((cost, agent))
     });
     let (_, agent) = costs.min_by(|one, other| one.0.total_cmp(&other.0))?;
@@ -242,7 +254,7 @@
     let seen = self.by_agent.iter().map(|(agent, seen)| {
       json!({
         "agent": agent.to_string(),
-        "cost_ms": self.cost(now, seen),
+        "cost_ms": self.cost(now, seen, self.typical_ms(&seen.service)),
         "data_centre": seen.data_centre,
         "gone_ms": seen.gone.map(age),
         "heard_ms": seen.heard.map(age),
@@ -296,7 +308,7 @@
   }
 
   /// What a new flow costs there, in milliseconds; none where it may not go.
-  fn cost(&self, now: Instant, seen: &Seen) -> Option<f64> {
+  fn cost(&self, now: Instant, seen: &Seen, typical_ms: f64) -> Option<f64> {
     if seen.presence == Presence::Leaving {
       return None;
     }
@@ -314,6 +326,10 @@
     if seen.stopping || !self.is_heard(now, seen) {
       cost += UNLIKELY_MS;
     }
+    let service_ms = f64::from(seen.load.service_ms);
+    if service_ms > 0.0 && service_ms < typical_ms * HASTY_PART {
+      cost += HASTY_MS;
+    }
     if seen.data_centre != self.data_centre {
       let (always, by_kilobyte) = self.tuning.crossing;
       cost += always + by_kilobyte * f64::from(seen.load.bytes) / 1024.0;
@@ -322,6 +338,20 @@
     Some(cost + wait(seen) + USE_MS * work / f64::from(seen.slots))
   }
 
+  /// The median of the times that the targets of a service take; 0 where too few are known.
+  fn typical_ms(&self, service: &Service) -> f64 {
+    let known = self.by_agent.values();
+    let known = known.filter(|seen| seen.service == *service && seen.gone.is_none());
+    let times = known.map(|seen| seen.load.service_ms);
+    let mut times = times.filter(|ms| *ms > 0).collect::<SmallVec<[u16; 64]>>();
+    if times.len() < TYPICAL_OF {
+      return 0.0;
+    }
+    let middle = times.len() / 2;
+    let (_, median, _) = times.select_nth_unstable(middle);
+    f64::from(*median)
+  }
+
   fn is_heard(&self, now: Instant, seen: &Seen) -> bool {
     seen
       .heard
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -267,3 +267,22 @@
     [Sent::Frame(_, Frame::Refused(_, Refusal::Leaving, _), _)]
   );
 }
+
+#[test]
+fn a_time_that_was_measured_long_ago_is_told_no_more() {
+  let (mut agent, flow) = with_flow(true);
+  agent.now += Duration::from_millis(2);
+  agent.packet(Packet::data(flow, 101, 2));
+  let told = |agent: &mut Agent| {
+    let other = crate::support::flow(40_002, 1);
+    deliver(agent, Purpose::Open, Packet::open(other, 0));
+    let sent = agent.packet(answer(other, 500));
+    let Some(Sent::Frame(_, Frame::Opened(_, load), _)) = sent.first() else {
+      panic!("{sent:?}");
+    };
+    load.service_ms
+  };
+  assert_eq!(told(&mut agent), 2);
+  agent.now += Duration::from_secs(4);
+  assert_eq!(told(&mut agent), 0);
+}
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -371,3 +371,32 @@
   let sent = balancer.packet(Packet::data(flow(1, 1), 2, 100));
   assert!(carried(&sent).contains(&(13, Purpose::Search)), "{sent:?}");
 }
+
+#[test]
+fn a_target_that_answers_far_too_soon_gets_no_flow_while_others_can_take_it() {
+  let mut balancer = balancer();
+  let live = Presence::Live;
+  let records = [
+    listed(5, "up-13", 13, "a", live),
+    listed(6, "up-14", 14, "a", live),
+  ];
+  balancer.platform(news(Some(4), 6, &records));
+  let load = |service_ms, work| Load {
+    service_ms,
+    work,
+    ..Load::default()
+  };
+  for host in [11, 12, 13] {
+    tell(&mut balancer, host, 1, load(40, 3));
+  }
+  // It fails at once what it is given, so that it never has any work.
+  tell(&mut balancer, 14, 1, load(1, 0));
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  assert_matches!(carried(&sent)[..], [(11..=13, Purpose::Open)]);
+  // Where the others are full, it is better than none.
+  for host in [11, 12, 13] {
+    tell(&mut balancer, host, 1, load(40, 30));
+  }
+  let sent = balancer.packet(Packet::open(flow(2, 1), 0));
+  assert_eq!(carried(&sent), [(14, Purpose::Open)]);
+}
