Ask for unknown flows with questions instead of copies of their packets

Cause: after a loss of power each of 900 flows was searched for at 44 agents with its packets, and each search that had no answer in 150 ms began anew with the next packet: links of 10 Mbit/s and processors of 0.12 cores were full for ten seconds (13,321 searches, 8,456 without an answer, 144,837 tests). Ruled out: fewer bytes a search alone (bounded before; the flood stayed). Change: one question names up to 48 flows and carries no packet; packets are held (16 a flow, 4 MB in all) until an agent has the flow; only the silent are asked again, three times; an agent that cannot say asks for one packet, the smallest; what becomes known during a search joins it instead of ending it. Fewer lines: a balancer that speaks every 2 s is no longer heard of anew each time.

--- a/src/datagram/agent/answers.rs
+++ b/src/datagram/agent/answers.rs
@@ -103,7 +103,10 @@
     );
     if let Some(balancer) = balancer {
       let packet = if wanted { packet } else { &[] };
-      let frame = Frame::Absent(flow, self.known(now, Revision::default()));
+      let frame = Frame::Absent {
+        flows: vec![flow],
+        known: self.known(now, Revision::default()),
+      };
       out.frame(balancer, &frame, packet);
     }
   }
--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -12,7 +12,10 @@
       frame::{Known, Purpose, Refusal},
     },
   },
-  std::time::{Duration, Instant},
+  std::{
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+  },
 };
 
 impl<C: Codec> Machine<C> {
@@ -89,12 +92,10 @@
       }
       return;
     };
-    let opened_here = |sequence: u32| {
-      let distance = carried.head.acknowledges.wrapping_sub(sequence);
-      distance <= 1
-    };
     match entry.state {
-      State::Opening(Some(sequence)) if opened_here(sequence) => entry.state = State::Open,
+      State::Opening(sequence) if is_answered(sequence, carried.head.acknowledges) => {
+        entry.state = State::Open;
+      }
       State::Opening(_) | State::Absent => {
         absent(carried, self.known(now, carried.complete), out);
         return;
@@ -112,12 +113,68 @@
       entry.ahead = self.work.under_way() - 1;
     }
     let tested = matches!(entry.state, State::Tested { .. });
-    if carried.purpose == Purpose::Search && !tested {
+    if carried.purpose == Purpose::Test && !tested {
       out.frame(carried.from, &Frame::Found(flow), &[]);
     }
     out.packet(Via::Upstream, self.upstream.address, carried.packet);
   }
 
+  /// Says which flows are here, as far as this run knows.
+  pub(super) fn asked(
+    &mut self,
+    now: Instant,
+    from: SocketAddrV4,
+    flows: &[(Flow, u32)],
+    service: u64,
+    complete: Revision,
+    out: &mut Outbox,
+  ) -> Result<(), Code> {
+    self.spread.heard(now, from, true);
+    let own = service == self.upstream.service.digest();
+    let (mut absent, mut unsure) = (Vec::new(), Vec::new());
+    for (flow, acknowledges) in flows {
+      match self.holds(now, from, flow, *acknowledges) {
+        _ if !own => absent.push(*flow),
+        Holds::Yes => out.frame(from, &Frame::Found(*flow), &[]),
+        Holds::No => absent.push(*flow),
+        Holds::Tested => {}
+        Holds::Unknown => unsure.push(*flow),
+      }
+    }
+    if !unsure.is_empty() {
+      out.frame(from, &Frame::Unsure(unsure), &[]);
+    }
+    if !absent.is_empty() {
+      let known = self.known(now, complete);
+      let flows = absent;
+      out.frame(from, &Frame::Absent { flows, known }, &[]);
+    }
+    if own {
+      Ok(())
+    } else {
+      Err(Code::FrameWrongService)
+    }
+  }
+
+  /// Whether a flow is here whose caller last acknowledged `acknowledges`; who asks is told later
+  /// where that is being tried.
+  fn holds(&mut self, now: Instant, asker: SocketAddrV4, flow: &Flow, acknowledges: u32) -> Holds {
+    let Some(entry) = self.flows.get_mut(flow) else {
+      let forgetful = now < self.forgetful_until;
+      return if forgetful { Holds::Unknown } else { Holds::No };
+    };
+    match entry.state {
+      State::Absent => Holds::No,
+      State::Open => Holds::Yes,
+      State::Opening(sequence) if is_answered(sequence, acknowledges) => Holds::Yes,
+      State::Opening(_) => Holds::No,
+      State::Tested { .. } => {
+        entry.balancer = Some(asker);
+        Holds::Tested
+      }
+    }
+  }
+
   /// This run does not know the flow, but its upstream may: it is given the packet and sends it
   /// back if it does not.
   pub(super) fn test(&mut self, now: Instant, carried: &Carried, out: &mut Outbox) {
@@ -207,12 +264,30 @@
   }
 }
 
+/// Whether a flow is at an agent's upstream.
+enum Holds {
+  Yes,
+  No,
+  /// The upstream was given a packet of it, and the answer is out.
+  Tested,
+  /// This run has not seen it, but has not seen all.
+  Unknown,
+}
+
+/// Whether a caller acknowledges the upstream's answer to its opening packet.
+fn is_answered(sequence: Option<u32>, acknowledges: u32) -> bool {
+  sequence.is_some_and(|sequence| acknowledges.wrapping_sub(sequence) <= 1)
+}
+
 /// Tells a balancer that a flow is not here.
 fn absent(carried: &Carried, known: Known, out: &mut Outbox) {
   let packet = match carried.purpose {
     Purpose::Deliver => carried.packet,
-    Purpose::Open | Purpose::Search => &[],
+    Purpose::Open | Purpose::Test => &[],
+  };
+  let frame = Frame::Absent {
+    flows: vec![carried.head.flow],
+    known,
   };
-  let frame = Frame::Absent(carried.head.flow, known);
   out.frame(carried.from, &frame, packet);
 }
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -117,6 +117,11 @@
   ) -> Result<(), Code> {
     let (frame, packet) = Frame::decode(bytes)?;
     match frame {
+      Frame::Ask {
+        complete,
+        flows,
+        service,
+      } => self.asked(now, from, &flows, service, complete, out),
       Frame::Carry {
         complete,
         purpose,
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -15,7 +15,7 @@
   },
   serde_json::json,
   std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     net::SocketAddrV4,
     sync::Arc,
     time::{Duration, Instant},
@@ -45,10 +45,16 @@
   pub(super) flows: HashMap<Flow, Place>,
   /// What agents that stopped had, and when they said so.
   pub(super) handed: HashMap<SocketAddrV4, (Instant, Handover)>,
+  /// How many bytes of packets wait for their flows to be found.
+  pub(super) held_bytes: usize,
   pub(super) openings: VecDeque<(Instant, Flow)>,
   pub(super) port: u16,
+  /// What is to be asked of agents about flows of services, by the digests of their names.
+  pub(super) questions: BTreeMap<(SocketAddrV4, u64), Vec<(Flow, u32)>>,
+  pub(super) questions_due: Option<Instant>,
   pub(super) searches: HashMap<Flow, Search>,
-  pub(super) searching: VecDeque<(Instant, Flow)>,
+  /// The searches by their deadlines.
+  pub(super) searching: BTreeSet<(Instant, Flow)>,
   pub(super) spread: Spread,
   pub(super) targets: Targets,
   pub(super) tuning: Tuning,
@@ -71,10 +77,13 @@
       expired: now,
       flows: HashMap::new(),
       handed: HashMap::new(),
+      held_bytes: 0,
       openings: VecDeque::new(),
       port: settings.callers.port(),
+      questions: BTreeMap::new(),
+      questions_due: None,
       searches: HashMap::new(),
-      searching: VecDeque::new(),
+      searching: BTreeSet::new(),
       spread,
       targets: Targets::new(
         now,
@@ -110,7 +119,7 @@
         let agent = place.agent;
         self.carry(agent, Purpose::Deliver, &service, packet, out);
       }
-      None => self.search(now, &head, &service, packet, None, out),
+      None => self.search(now, &head, &service, packet, None),
     }
     Ok(())
   }
@@ -171,9 +180,9 @@
   ) -> Result<(), Code> {
     let (frame, packet) = Frame::decode(bytes)?;
     match frame {
-      Frame::Absent(flow, known) => self.absent(now, from, flow, &known, packet, out),
-      Frame::Carry { .. } => return Err(Code::FrameWrongTarget),
-      Frame::Found(flow) => self.found(now, from, flow),
+      Frame::Absent { flows, known } => self.absent(now, from, &flows, &known, packet, out),
+      Frame::Ask { .. } | Frame::Carry { .. } => return Err(Code::FrameWrongTarget),
+      Frame::Found(flow) => self.found(now, from, flow, out),
       Frame::Held { flows, part, parts } => {
         let fresh = || (now, Handover::default());
         let (at, handed) = self.handed.entry(from).or_insert_with(fresh);
@@ -189,6 +198,7 @@
         self.refused(now, from, flow, refusal, load, out);
       }
       Frame::Status(status) => self.status(now, from, &status, out),
+      Frame::Unsure(flows) => self.unsure(from, &flows, out),
     }
     Ok(())
   }
@@ -249,13 +259,14 @@
       self.openings.pop_front();
       self.unanswered(now, deadline, flow, out);
     }
-    while let Some((deadline, flow)) = self.searching.front().copied() {
+    while let Some((deadline, flow)) = self.searching.first().copied() {
       if deadline > now {
         break;
       }
-      self.searching.pop_front();
-      self.search_over(now, deadline, flow, out);
+      self.searching.pop_first();
+      self.search_over(now, flow, out);
     }
+    self.send_questions(out);
     if now >= self.expired + EXPIRE {
       self.expired = now;
       self.expire(now);
@@ -320,9 +331,9 @@
 
   fn deadline(&self) -> Instant {
     let opening = self.openings.front().map(|(deadline, _)| *deadline);
-    let search = self.searching.front().map(|(deadline, _)| *deadline);
+    let search = self.searching.first().map(|(deadline, _)| *deadline);
     let status = self.spread.deadline();
-    [opening, search]
+    [opening, search, self.questions_due]
       .into_iter()
       .flatten()
       .fold(status, Instant::min)
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -35,6 +35,7 @@
       packet: SmallVec::from_slice(packet),
       tried: Tried::new(),
     };
+    self.end_search(&head.flow);
     match self.flows.get_mut(&head.flow) {
       Some(place) if matches!(place.state, State::Open) => {
         // The answer of its target was lost on the way, or is.
--- a/src/datagram/balancer/search.rs
+++ b/src/datagram/balancer/search.rs
@@ -1,19 +1,123 @@
 use {
+  crate::Revision,
   smallvec::SmallVec,
-  std::{net::SocketAddrV4, time::Instant},
+  std::{
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+  },
 };
 
+/// How many packets of a flow are held: as many as an end keeps under way.
+const HELD_MAX: usize = 16;
+
+/// How often those are asked again that are silent.
+const AGAIN_MAX: u32 = 3;
+
+/// Agents.
+type Agents = SmallVec<[SocketAddrV4; 12]>;
+
 /// A flow that is being looked for.
 #[derive(Clone, Debug)]
 pub struct Search {
-  /// Who was asked, and who had said no before that.
-  pub asked: SmallVec<[SocketAddrV4; 12]>,
   /// What the caller last acknowledged.
   pub acknowledges: u32,
-  /// When the answers that came have to do.
+  /// How often the silent ones were asked again.
+  again: u32,
+  /// Who was asked, and who had said no before that.
+  pub asked: Agents,
+  /// When it began.
+  pub began: Instant,
+  /// When those that are silent are asked again.
   pub deadline: Instant,
-  /// How many bytes were copied to all.
-  pub bytes: usize,
+  /// The packets that came meanwhile.
+  held: Vec<Vec<u8>>,
+  /// The list has to be known up to here for the no of all to be proof.
+  pub needs: Revision,
+  /// Which of the held packets agents were given to try.
+  probe: Option<usize>,
+  /// Who was given it.
+  tried: Agents,
   /// Who has not answered.
-  pub waiting: SmallVec<[SocketAddrV4; 12]>,
+  pub waiting: Agents,
+}
+
+impl Search {
+  /// A search that begins; `except` has said no already.
+  pub fn new(now: Instant, acknowledges: u32, except: Option<SocketAddrV4>) -> Self {
+    Self {
+      acknowledges,
+      again: 0,
+      asked: except.into_iter().collect(),
+      began: now,
+      deadline: now,
+      held: Vec::new(),
+      needs: Revision::default(),
+      probe: None,
+      tried: Agents::new(),
+      waiting: Agents::new(),
+    }
+  }
+
+  /// Adds whoever was not asked yet, and returns them.
+  pub fn extend(&mut self, holders: &[SocketAddrV4]) -> Agents {
+    let new = holders.iter().copied();
+    let new = new.filter(|holder| !self.asked.contains(holder));
+    let new = new.collect::<Agents>();
+    self.asked.extend_from_slice(&new);
+    self.waiting.extend_from_slice(&new);
+    new
+  }
+
+  /// Keeps a packet until the flow is found; returns the bytes that it takes.
+  pub fn hold(&mut self, packet: &[u8]) -> usize {
+    if self.held.len() >= HELD_MAX {
+      return 0;
+    }
+    self.held.push(packet.to_vec());
+    packet.len()
+  }
+
+  /// The bytes that are held.
+  pub fn bytes(&self) -> usize {
+    self.held.iter().map(Vec::len).sum()
+  }
+
+  /// Sets the next deadline; false when all was tried.
+  pub fn ask_again(&mut self, now: Instant, first: Duration) -> bool {
+    if self.again >= AGAIN_MAX {
+      return false;
+    }
+    self.again += 1;
+    self.deadline = now + first * 2_u32.pow(self.again);
+    true
+  }
+
+  /// Whether silent ones were asked again.
+  pub fn is_first(&self) -> bool {
+    self.again == 0
+  }
+
+  /// The packet that tells an agent whether its upstream has the flow: the smallest.
+  pub fn probe(&mut self, agent: SocketAddrV4) -> Option<&[u8]> {
+    if !self.waiting.contains(&agent) {
+      return None;
+    }
+    if !self.tried.contains(&agent) {
+      self.tried.push(agent);
+    }
+    let sizes = self.held.iter().enumerate();
+    let smallest = || sizes.min_by_key(|(_, packet)| packet.len());
+    let index = self.probe.or_else(|| smallest().map(|(index, _)| index));
+    self.probe = index;
+    Some(&self.held[index?])
+  }
+
+  /// The held packets that an agent has not been given.
+  pub fn packets_for(&self, agent: SocketAddrV4) -> impl Iterator<Item = &[u8]> {
+    let given = self.probe.filter(|_| self.tried.contains(&agent));
+    let held = self.held.iter().enumerate();
+    held
+      .filter(move |(index, _)| Some(*index) != given)
+      .map(|(_, packet)| packet.as_slice())
+  }
 }
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -9,16 +9,15 @@
   crate::{
     Code,
     datagram::{
-      Codec, Flow, Head, Outbox, Service,
-      frame::{Known, Purpose},
+      Codec, Flow, Frame, Head, Outbox, Service,
+      frame::{ASKED_MAX, Known, Purpose},
     },
   },
-  smallvec::SmallVec,
   std::{net::SocketAddrV4, time::Instant},
 };
 
 impl<C: Codec> Machine<C> {
-  /// Asks all that may have a flow.
+  /// Asks all that may have a flow, and holds the packet until one of them says that it has.
   pub(super) fn search(
     &mut self,
     now: Instant,
@@ -26,72 +25,68 @@
     service: &Service,
     packet: &[u8],
     except: Option<SocketAddrV4>,
-    out: &mut Outbox,
   ) {
-    let holders = self.targets.holders(service).iter().copied();
-    let asked = holders
-      .filter(|agent| Some(*agent) != except)
-      .collect::<SmallVec<[SocketAddrV4; 12]>>();
-    if asked.is_empty() {
-      // Nobody who could say no is no proof either.
-      log::info!(flow:% = head.flow, service:% = service; "balancer: flow has nobody to be asked.");
-      self.counter.count(Code::FlowUnknown);
-      return;
-    }
-    let deadline = now + self.tuning.search;
-    let searching = &mut self.searching;
-    let search = self.searches.entry(head.flow).or_insert_with(|| {
-      searching.push_back((deadline, head.flow));
-      log::info!(flow:% = head.flow, asked = asked.len(); "balancer: flow is searched for.");
-      Search {
-        asked: asked.iter().copied().chain(except).collect(),
-        acknowledges: head.acknowledges,
-        deadline,
-        bytes: 0,
-        waiting: asked.clone(),
+    let flow = head.flow;
+    if !self.searches.contains_key(&flow) {
+      let mut search = Search::new(now, head.acknowledges, except);
+      let asked = search.extend(self.targets.holders(service));
+      if asked.is_empty() {
+        // Nobody who could say no is no proof either.
+        log::info!(flow:% = flow, service:% = service; "balancer: flow has nobody to be asked.");
+        self.counter.count(Code::FlowUnknown);
+        return;
       }
-    });
-    search.acknowledges = head.acknowledges;
-    if search.bytes >= self.tuning.search_bytes {
+      log::info!(flow:% = flow, asked = asked.len(); "balancer: flow is searched for.");
+      search.deadline = now + self.tuning.search;
+      self.searching.insert((search.deadline, flow));
+      self.ask(now, flow, head.acknowledges, &asked);
+      self.searches.insert(flow, search);
+    }
+    if self.held_bytes >= self.tuning.search_bytes {
+      self.counter.count(Code::QueueFull);
       return;
     }
-    search.bytes += asked.len() * packet.len();
-    for agent in asked {
-      self.carry(agent, Purpose::Search, service, packet, out);
+    if let Some(search) = self.searches.get_mut(&flow) {
+      search.acknowledges = head.acknowledges;
+      self.held_bytes += search.hold(packet);
     }
   }
 
-  /// An agent does not have a flow.
+  /// Agents do not have flows.
   pub(super) fn absent(
     &mut self,
     now: Instant,
     from: SocketAddrV4,
-    flow: Flow,
+    flows: &[Flow],
     known: &Known,
     packet: &[u8],
     out: &mut Outbox,
   ) {
-    let here = self.flows.get(&flow);
-    let here = here.is_some_and(|place| place.agent == from && !matches!(place.state, State::Dead));
-    if here {
-      self.flows.remove(&flow);
-    }
-    let mut behind = self.spread.is_behind(now, from, known.complete);
-    if let Some(service) = self.spread.catalog().service(&flow.route) {
-      behind |= self.targets.learn(now, service, &known.past);
-    }
-    if let Some(search) = self.searches.get_mut(&flow) {
-      search.waiting.retain(|agent| *agent != from);
-      if behind {
-        // A target that is not known here may have the flow.
-        self.searches.remove(&flow);
-      } else {
-        self.conclude(now, flow, out);
+    self.spread.is_behind(now, from, known.complete);
+    for flow in flows {
+      let here = self.flows.get(flow);
+      let here =
+        here.is_some_and(|place| place.agent == from && !matches!(place.state, State::Dead));
+      if here {
+        self.flows.remove(flow);
+      }
+      if let Some(service) = self.spread.catalog().service(&flow.route) {
+        self.targets.learn(now, service, &known.past);
+      }
+      if let Some(search) = self.searches.get_mut(flow) {
+        search.waiting.retain(|agent| *agent != from);
+        // A target that is not known here yet may have the flow.
+        search.needs = search.needs.max(known.complete);
+        self.conclude(now, *flow, out);
       }
     }
-    if packet.is_empty() {
-      return;
+    if let (false, [flow]) = (packet.is_empty(), flows) {
+      self.search_returned(now, from, *flow, packet);
     }
+  }
+
+  /// A packet was sent where its flow is not.
+  fn search_returned(&mut self, now: Instant, from: SocketAddrV4, flow: Flow, packet: &[u8]) {
     log::info!(flow:% = flow, from:% = from; "balancer: flow is not where it was.");
     let Ok(head) = self.codec.read_from_caller(packet) else {
       self.counter.count(Code::PacketTooShort);
@@ -99,27 +94,26 @@
     };
     let service = self.spread.catalog().service(&flow.route).cloned();
     if let (Some(service), false) = (service, self.flows.contains_key(&flow)) {
-      self.search(now, &head, &service, packet, Some(from), out);
+      self.search(now, &head, &service, packet, Some(from));
     }
   }
 
   /// Ends a search that nobody is left to answer: the flow is nowhere, and its caller is told.
   pub(super) fn conclude(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
-    let Some(search) = self.searches.get(&flow) else {
+    let Some(search) = self.searches.get_mut(&flow) else {
       return;
     };
-    if !search.waiting.is_empty() {
-      return;
-    }
     let service = self.spread.catalog().service(&flow.route);
     let holders = service.map_or(&[][..], |service| self.targets.holders(service));
-    if !holders.iter().all(|holder| search.asked.contains(holder)) {
-      // Somebody is known now who was not asked: the next packet of the flow asks again.
-      self.searches.remove(&flow);
+    // Whoever has become known since is asked too.
+    let (new, acknowledges) = (search.extend(holders), search.acknowledges);
+    let known = self.spread.catalog().complete() >= search.needs;
+    if !search.waiting.is_empty() || !known {
+      self.ask(now, flow, acknowledges, &new);
       return;
     }
-    let (acknowledges, asked) = (search.acknowledges, search.asked.len());
-    self.searches.remove(&flow);
+    let asked = search.asked.len();
+    self.end_search(&flow);
     if self.flows.contains_key(&flow) {
       return;
     }
@@ -140,13 +134,7 @@
     self.reset(&flow, acknowledges, out);
   }
 
-  pub(super) fn found(&mut self, now: Instant, from: SocketAddrV4, flow: Flow) {
-    if let Some(search) = self.searches.remove(&flow) {
-      let began = search.deadline.checked_sub(self.tuning.search);
-      let time = now.saturating_duration_since(began.unwrap_or(now));
-      self.counter.observe("search", time);
-      log::info!(flow:% = flow, at:% = from; "balancer: flow is found.");
-    }
+  pub(super) fn found(&mut self, now: Instant, from: SocketAddrV4, flow: Flow, out: &mut Outbox) {
     self.flows.insert(
       flow,
       Place {
@@ -155,26 +143,97 @@
         state: State::Open,
       },
     );
+    let Some(search) = self.end_search(&flow) else {
+      return;
+    };
+    let time = now.saturating_duration_since(search.began);
+    self.counter.observe("search", time);
+    log::info!(flow:% = flow, at:% = from; "balancer: flow is found.");
+    let Some(service) = self.spread.catalog().service(&flow.route).cloned() else {
+      return;
+    };
+    for packet in search.packets_for(from) {
+      self.carry(from, Purpose::Deliver, &service, packet, out);
+    }
   }
 
-  pub(super) fn search_over(
-    &mut self,
-    now: Instant,
-    deadline: Instant,
-    flow: Flow,
-    out: &mut Outbox,
-  ) {
-    let search = self.searches.get(&flow);
-    if search.is_none_or(|search| search.deadline != deadline) {
-      return;
+  /// An agent that has just started needs packets to say whether it has their flows.
+  pub(super) fn unsure(&mut self, from: SocketAddrV4, flows: &[Flow], out: &mut Outbox) {
+    for flow in flows {
+      let Some(service) = self.spread.catalog().service(&flow.route).cloned() else {
+        continue;
+      };
+      let Some(mut search) = self.searches.remove(flow) else {
+        continue;
+      };
+      if let Some(packet) = search.probe(from) {
+        self.carry(from, Purpose::Test, &service, packet, out);
+      }
+      self.searches.insert(*flow, search);
     }
+  }
+
+  pub(super) fn search_over(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
     let targets = &self.targets;
-    if let Some(search) = self.searches.get_mut(&flow) {
-      search.waiting.retain(|agent| !targets.is_lost(now, *agent));
-    }
+    let Some(search) = self.searches.get_mut(&flow) else {
+      return;
+    };
+    search.waiting.retain(|agent| !targets.is_lost(now, *agent));
     self.conclude(now, flow, out);
-    if let Some(search) = self.searches.remove(&flow) {
-      log::info!(flow:% = flow, silent:? = search.waiting; "balancer: search has no answer.");
+    let Some(search) = self.searches.get_mut(&flow) else {
+      return;
+    };
+    if search.is_first() {
+      log::info!(
+        flow:% = flow, silent:? = search.waiting, needs:% = search.needs;
+        "balancer: search has no answer."
+      );
+    }
+    if !search.ask_again(now, self.tuning.search) {
+      self.end_search(&flow);
+      return;
+    }
+    self.searching.insert((search.deadline, flow));
+    let (waiting, acknowledges) = (search.waiting.clone(), search.acknowledges);
+    self.ask(now, flow, acknowledges, &waiting);
+  }
+
+  /// Forgets a search, and what it holds.
+  pub(super) fn end_search(&mut self, flow: &Flow) -> Option<Search> {
+    let search = self.searches.remove(flow)?;
+    self.held_bytes -= search.bytes();
+    self.searching.remove(&(search.deadline, *flow));
+    Some(search)
+  }
+
+  /// Sends the questions that were put together since the last time.
+  pub(super) fn send_questions(&mut self, out: &mut Outbox) {
+    self.questions_due = None;
+    let questions = std::mem::take(&mut self.questions);
+    for ((agent, service), flows) in questions {
+      for flows in flows.chunks(ASKED_MAX) {
+        let frame = Frame::Ask {
+          complete: self.spread.catalog().complete(),
+          flows: flows.to_vec(),
+          service,
+        };
+        out.frame(agent, &frame, &[]);
+      }
+    }
+  }
+
+  /// Puts a question together with others to the same agents, until the next tick.
+  fn ask(&mut self, now: Instant, flow: Flow, acknowledges: u32, agents: &[SocketAddrV4]) {
+    let Some(service) = self.spread.catalog().service(&flow.route) else {
+      return;
+    };
+    let service = service.digest();
+    for agent in agents {
+      let flows = self.questions.entry((*agent, service)).or_default();
+      flows.push((flow, acknowledges));
+    }
+    if !agents.is_empty() {
+      self.questions_due.get_or_insert(now);
     }
   }
 }
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -6,11 +6,14 @@
 };
 
 /// The first byte of a frame: the version of the layout.
-const VERSION: u8 = 0xd1;
+const VERSION: u8 = 0xd2;
 
 /// The largest frame that is sent with news in it, in bytes: it fits a common datagram.
 pub const NEWS_MAX: usize = 1200;
 
+/// How many flows a question names at most: it fits a common datagram.
+pub const ASKED_MAX: usize = 48;
+
 /// What a balancer asks of an agent with a caller's packet.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Purpose {
@@ -18,8 +21,8 @@
   Deliver,
   /// Open the flow.
   Open,
-  /// Take the packet only if the flow is there, and say whether it is.
-  Search,
+  /// Try with the packet whether the flow is there, and say so.
+  Test,
 }
 
 /// What an agent knows of where else a flow may be.
@@ -79,9 +82,23 @@
 /// What passes between the processes in datagrams. A packet may follow.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Frame {
-  /// The agent does not have the flow, for certain. The packet follows where it was sent to be
-  /// delivered.
-  Absent(Flow, Known),
+  /// The agent does not have the flows, for certain. Where a packet was sent to be delivered, it
+  /// follows, and is of the only flow.
+  Absent {
+    /// The flows.
+    flows: Vec<Flow>,
+    /// Where else they may be.
+    known: Known,
+  },
+  /// Which of these flows does the agent have?
+  Ask {
+    /// The revision up to which the sender knows the list.
+    complete: Revision,
+    /// The flows, each with what its caller last acknowledged.
+    flows: Vec<(Flow, u32)>,
+    /// The digest of the service's name.
+    service: u64,
+  },
   /// A caller's packet, which follows.
   Carry {
     /// The revision up to which the sender knows the list.
@@ -112,6 +129,8 @@
   Refused(Flow, Refusal, Load),
   /// What the sender is and knows.
   Status(Status),
+  /// The agent cannot say whether it has the flows; a packet of each would tell.
+  Unsure(Vec<Flow>),
 }
 
 impl Frame {
--- a/src/datagram/settings.rs
+++ b/src/datagram/settings.rs
@@ -109,10 +109,10 @@
   pub readers: usize,
   /// How often load is told at most.
   pub report: Duration,
-  /// How long a search waits for answers.
+  /// How long a search waits for answers before it asks those again that are silent; each time
+  /// twice as long.
   pub search: Duration,
-  /// How many bytes are copied to all while a flow is searched for, a last packet not counted. A
-  /// link of 10 Mbit/s takes 40 ms for so many.
+  /// How many bytes of packets are held while their flows are searched for.
   pub search_bytes: usize,
   /// A process that was not heard of for so long is passed over.
   pub silent: Duration,
@@ -143,7 +143,7 @@
       readers: 1,
       report: Duration::from_millis(100),
       search: Duration::from_millis(150),
-      search_bytes: 48 << 10,
+      search_bytes: 4 << 20,
       silent: Duration::from_millis(1500),
       status: Duration::from_millis(500),
       takeover: Duration::from_millis(1800),
--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -24,6 +24,10 @@
 /// How often one that is not heard of is told.
 const TOLD_EVERY: Duration = Duration::from_secs(1);
 
+/// After so much silence a balancer that speaks again is worth a line: those of other data centres
+/// tell agents only every two seconds.
+const LOST: Duration = Duration::from_secs(5);
+
 /// How long a question to a peer may take before another is asked.
 const PULL: Duration = Duration::from_millis(500);
 
@@ -160,11 +164,10 @@
       .peers
       .entry(from)
       .or_insert_with(|| Peer::new(now, balancer));
-    let silent = peer
-      .heard
-      .is_none_or(|heard| now.saturating_duration_since(heard) >= self.tuning.silent);
+    let long = |heard| now.saturating_duration_since(heard) >= LOST;
+    let lost = peer.heard.is_none_or(long);
     peer.heard = Some(now);
-    if silent && balancer {
+    if lost && balancer {
       log::info!(peer:% = from; "spread: balancer is heard of.");
     }
   }
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -68,11 +68,13 @@
 }
 
 fn absent(flow: Flow, complete: Revision) -> Frame {
-  let known = Known {
-    complete,
-    past: vec![],
-  };
-  Frame::Absent(flow, known)
+  Frame::Absent {
+    flows: vec![flow],
+    known: Known {
+      complete,
+      past: vec![],
+    },
+  }
 }
 
 fn returned(packet: Packet) -> Packet {
@@ -112,7 +114,7 @@
 #[test]
 fn a_packet_of_another_service_never_reaches_the_upstream() {
   let mut agent = Stepped::agent(9, "a", false);
-  for purpose in [Purpose::Deliver, Purpose::Open, Purpose::Search] {
+  for purpose in [Purpose::Deliver, Purpose::Open, Purpose::Test] {
     for packet in [
       Packet::open(flow(40_001, 1), 0),
       Packet::data(flow(40_001, 1), 2, 3),
@@ -165,7 +167,7 @@
   let (mut agent, _) = with_flow(true);
   let other = flow(40_002, 1);
   let packet = Packet::data(other, 5, 6);
-  let sent = deliver(&mut agent, Purpose::Search, packet);
+  let sent = deliver(&mut agent, Purpose::Test, packet);
   assert_eq!(sent, [Sent::Frame(peer(1), absent(other, KNOWN), vec![])]);
   // Where the packet was sent to be delivered, it comes back.
   let sent = deliver(&mut agent, Purpose::Deliver, packet);
@@ -178,20 +180,84 @@
   let mut agent = Stepped::agent(9, "a", false);
   let flow = flow(40_001, 1);
   let packet = Packet::data(flow, 5, 6);
-  let sent = deliver(&mut agent, Purpose::Search, packet);
+  let sent = deliver(&mut agent, Purpose::Test, packet);
   assert_eq!(sent, [Sent::Upstream(packet)]);
   let sent = agent.packet(returned(packet));
   assert_eq!(sent, [Sent::Frame(peer(1), absent(flow, NOTHING), vec![])]);
   // It is not asked again: each packet counts as a stray there.
-  let sent = deliver(&mut agent, Purpose::Search, packet);
+  let sent = deliver(&mut agent, Purpose::Test, packet);
   assert_eq!(sent, [Sent::Frame(peer(1), absent(flow, NOTHING), vec![])]);
 }
 
+/// Asks for flows whose callers last acknowledged `acknowledges`.
+fn ask(agent: &mut Agent, flows: &[Flow], acknowledges: u32, service: &str) -> Vec<Sent> {
+  let service = service.parse::<Service>().expect("a name");
+  let flows = flows.iter().map(|flow| (*flow, acknowledges));
+  let frame = Frame::Ask {
+    complete: KNOWN,
+    flows: flows.collect(),
+    service: service.digest(),
+  };
+  agent.frame(BALANCER, &frame, &[])
+}
+
+#[test]
+fn an_agent_that_knows_all_flows_answers_a_question_without_its_upstream() {
+  let (mut agent, here) = with_flow(true);
+  let (one, other) = (flow(40_002, 1), flow(40_003, 1));
+  let sent = ask(&mut agent, &[one, here, other], 101, "a");
+  let absent = Frame::Absent {
+    flows: vec![one, other],
+    known: Known {
+      complete: KNOWN,
+      past: vec![],
+    },
+  };
+  let expected = [Frame::Found(here), absent];
+  assert_eq!(
+    sent,
+    expected.map(|frame| Sent::Frame(peer(1), frame, vec![]))
+  );
+}
+
+#[test]
+fn a_flow_whose_answer_was_acknowledged_is_here_before_its_first_packet() {
+  let mut agent = Stepped::agent(9, "a", true);
+  let flow = flow(40_001, 1);
+  deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
+  agent.packet(answer(flow, 100));
+  let sent = ask(&mut agent, &[flow], 101, "a");
+  assert!(is_told(&sent, &Frame::Found(flow)), "{sent:?}");
+  let sent = ask(&mut agent, &[flow], 777, "a");
+  assert!(is_told(&sent, &absent(flow, NOTHING)), "{sent:?}");
+}
+
+#[test]
+fn an_agent_that_has_just_started_asks_for_a_packet() {
+  let mut agent = Stepped::agent(9, "a", false);
+  let flow = flow(40_001, 1);
+  let sent = ask(&mut agent, &[flow], 6, "a");
+  assert!(is_told(&sent, &Frame::Unsure(vec![flow])), "{sent:?}");
+  // While it tries one, it says nothing; then what it has found.
+  deliver(&mut agent, Purpose::Test, Packet::data(flow, 5, 6));
+  assert_eq!(ask(&mut agent, &[flow], 6, "a"), []);
+  agent.packet(returned(Packet::data(flow, 5, 6)));
+  let sent = ask(&mut agent, &[flow], 6, "a");
+  assert!(is_told(&sent, &absent(flow, NOTHING)), "{sent:?}");
+}
+
+#[test]
+fn an_agent_of_another_service_has_none_of_its_flows() {
+  let (mut agent, here) = with_flow(true);
+  let sent = ask(&mut agent, &[here], 101, "b");
+  assert!(is_told(&sent, &absent(here, KNOWN)), "{sent:?}");
+}
+
 #[test]
 fn a_tested_flow_that_is_not_sent_back_is_here() {
   let mut agent = Stepped::agent(9, "a", false);
   let flow = flow(40_001, 1);
-  deliver(&mut agent, Purpose::Search, Packet::data(flow, 5, 6));
+  deliver(&mut agent, Purpose::Test, Packet::data(flow, 5, 6));
   let sent = agent.pass(Duration::from_millis(100));
   assert!(is_told(&sent, &Frame::Found(flow)), "{sent:?}");
 }
@@ -249,11 +315,11 @@
     next.frame(BALANCER, part, &[]);
   }
   let packet = Packet::data(flow, 3, 101);
-  let sent = deliver(&mut next, Purpose::Search, packet);
+  let sent = deliver(&mut next, Purpose::Test, packet);
   assert!(is_told(&sent, &Frame::Found(flow)), "{sent:?}");
   // It knows all: another flow is told absent without a test.
   let other = crate::support::flow(40_002, 1);
-  let sent = deliver(&mut next, Purpose::Search, Packet::data(other, 5, 6));
+  let sent = deliver(&mut next, Purpose::Test, Packet::data(other, 5, 6));
   assert_eq!(sent, [Sent::Frame(peer(1), absent(other, NOTHING), vec![])]);
 }
 
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -65,13 +65,32 @@
   })
 }
 
+/// Who was asked for the flow `flow(1, 1)`.
+fn asked(sent: &[Sent]) -> Vec<u8> {
+  let frames = sent.iter().filter_map(|sent| match sent {
+    Sent::Frame(to, Frame::Ask { flows, .. }, _) if flows[..] == [(flow(1, 1), 100)] => {
+      Some(to.ip().octets()[3])
+    }
+    _ => None,
+  });
+  frames.collect()
+}
+
+/// A packet of the flow `flow(1, 1)` that the balancer does not know, and who it asks.
+fn search(balancer: &mut Balancer) -> Vec<u8> {
+  assert_eq!(balancer.packet(Packet::data(flow(1, 1), 2, 100)), []);
+  asked(&balancer.pass(Duration::ZERO))
+}
+
 /// The flow `flow(1, 1)` is not at the sender, who knows the list up to a revision.
 fn absent(complete: u64) -> Frame {
-  let known = Known {
-    complete: Revision(complete),
-    past: vec![],
-  };
-  Frame::Absent(flow(1, 1), known)
+  Frame::Absent {
+    flows: vec![flow(1, 1)],
+    known: Known {
+      complete: Revision(complete),
+      past: vec![],
+    },
+  }
 }
 
 fn busy(work: u16) -> Load {
@@ -138,19 +157,73 @@
 #[test]
 fn an_unknown_flow_is_asked_for_at_all_its_targets() {
   let mut balancer = balancer();
-  let sent = balancer.packet(Packet::data(flow(1, 1), 2, 100));
-  let mut asked = carried(&sent);
-  asked.sort_by_key(|(host, _)| *host);
-  assert_eq!(asked, [(11, Purpose::Search), (12, Purpose::Search)]);
-  balancer.frame(12, &Frame::Found(flow(1, 1)), &[]);
-  let sent = balancer.packet(Packet::data(flow(1, 1), 3, 100));
+  assert_eq!(search(&mut balancer), [11, 12]);
+  // What came meanwhile waits for the answer.
+  balancer.packet(Packet::data(flow(1, 1), 3, 100));
+  let sent = balancer.frame(12, &Frame::Found(flow(1, 1)), &[]);
+  assert_eq!(carried(&sent), [(12, Purpose::Deliver); 2]);
+  let sent = balancer.packet(Packet::data(flow(1, 1), 4, 100));
   assert_eq!(carried(&sent), [(12, Purpose::Deliver)]);
 }
 
+#[test]
+fn one_question_names_all_flows_that_are_searched_for() {
+  let mut balancer = balancer();
+  for port in 1..=100 {
+    balancer.packet(Packet::data(flow(port, 1), 2, 100));
+  }
+  let sent = balancer.pass(Duration::ZERO);
+  let named = sent.iter().map(|sent| match sent {
+    Sent::Frame(_, Frame::Ask { flows, .. }, _) => flows.len(),
+    other => panic!("{other:?}"),
+  });
+  assert_eq!(named.collect::<Vec<_>>(), [48, 48, 4, 48, 48, 4]);
+}
+
+#[test]
+fn an_agent_that_cannot_say_is_given_the_smallest_packet_to_try() {
+  let mut balancer = balancer();
+  let small = Packet::data(flow(1, 1), 2, 100);
+  let large = Packet {
+    sequence: u32::MAX,
+    ..small
+  };
+  balancer.packet(large);
+  balancer.packet(small);
+  let unsure = Frame::Unsure(vec![flow(1, 1)]);
+  let sent = balancer.frame(11, &unsure, &[]);
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(to, Frame::Carry { purpose: Purpose::Test, .. }, packet)]
+      if *to == peer(11) && *packet == small.write()
+  );
+  // It has the flow, and that packet: only the other one is delivered.
+  let sent = balancer.frame(11, &Frame::Found(flow(1, 1)), &[]);
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(_, Frame::Carry { purpose: Purpose::Deliver, .. }, packet)]
+      if *packet == large.write()
+  );
+}
+
+#[test]
+fn only_the_silent_are_asked_again_and_not_for_long() {
+  let mut balancer = balancer();
+  search(&mut balancer);
+  balancer.frame(11, &absent(4), &[]);
+  let mut again = Vec::new();
+  for _ in 0..100 {
+    again.extend(asked(&balancer.pass(Duration::from_millis(50))));
+  }
+  assert_eq!(again, [12; 3]);
+  // The next packet of the flow asks anew.
+  assert_eq!(search(&mut balancer), [11, 12]);
+}
+
 #[test]
 fn a_flow_is_reset_once_all_its_targets_have_said_no() {
   let mut balancer = balancer();
-  balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  search(&mut balancer);
   let sent = balancer.frame(11, &absent(4), &[]);
   assert_eq!(sent, []);
   let sent = balancer.frame(12, &absent(4), &[]);
@@ -160,7 +233,7 @@
 #[test]
 fn silence_is_no_proof() {
   let mut balancer = balancer();
-  balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  search(&mut balancer);
   balancer.frame(11, &absent(4), &[]);
   for _ in 0..20 {
     let sent = balancer.pass(Duration::from_millis(200));
@@ -173,7 +246,7 @@
   let mut balancer = balancer();
   balancer.platform(news(Some(4), 5, &[unlisted(5, "up-12")]));
   balancer.pass(Duration::from_secs(3));
-  balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  search(&mut balancer);
   balancer.frame(11, &absent(4), &[]);
   let sent = balancer.pass(Duration::from_millis(200));
   assert!(is_reset(&sent, flow(1, 1), 100), "{sent:?}");
@@ -185,7 +258,7 @@
   balancer.platform(news(Some(4), 5, &[unlisted(5, "up-12")]));
   balancer.pass(Duration::from_secs(3));
   tell(&mut balancer, 12, 1, Load::default());
-  balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  search(&mut balancer);
   let sent = balancer.frame(11, &absent(4), &[]);
   assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
 }
@@ -196,8 +269,8 @@
   balancer.frame(11, &Frame::Found(flow(1, 1)), &[]);
   let packet = Packet::data(flow(1, 1), 2, 100);
   balancer.packet(packet);
-  let sent = balancer.frame(11, &absent(4), &packet.write());
-  assert_eq!(carried(&sent), [(12, Purpose::Search)]);
+  balancer.frame(11, &absent(4), &packet.write());
+  assert_eq!(asked(&balancer.pass(Duration::ZERO)), [12]);
 }
 
 #[test]
@@ -327,7 +400,7 @@
 #[test]
 fn no_of_agents_that_know_a_longer_list_is_no_proof() {
   let mut balancer = balancer();
-  balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  search(&mut balancer);
   balancer.frame(11, &absent(9), &[]);
   let sent = balancer.frame(12, &absent(9), &[]);
   assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
@@ -339,16 +412,20 @@
 #[test]
 fn a_target_that_left_before_this_process_started_is_asked_too() {
   let mut balancer = balancer();
-  balancer.packet(Packet::data(flow(1, 1), 2, 100));
-  let known = Known {
-    complete: Revision(4),
-    past: vec![(crate::support::upstream(13), 100)],
+  search(&mut balancer);
+  let absent = Frame::Absent {
+    flows: vec![flow(1, 1)],
+    known: Known {
+      complete: Revision(4),
+      past: vec![(crate::support::upstream(13), 100)],
+    },
   };
-  balancer.frame(11, &Frame::Absent(flow(1, 1), known.clone()), &[]);
-  let sent = balancer.frame(12, &Frame::Absent(flow(1, 1), known), &[]);
+  balancer.frame(11, &absent, &[]);
+  let sent = balancer.frame(12, &absent, &[]);
   assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
-  let sent = balancer.packet(Packet::data(flow(1, 1), 2, 100));
-  assert!(carried(&sent).contains(&(13, Purpose::Search)), "{sent:?}");
+  assert_eq!(asked(&balancer.pass(Duration::ZERO)), [13]);
+  let sent = balancer.frame(13, &absent, &[]);
+  assert!(is_reset(&sent, flow(1, 1), 100), "{sent:?}");
 }
 
 #[test]
@@ -362,14 +439,13 @@
 #[test]
 fn a_target_that_is_listed_during_a_search_is_asked_before_its_end() {
   let mut balancer = balancer();
-  balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  search(&mut balancer);
   balancer.frame(11, &absent(4), &[]);
   let listed = listed(5, "up-13", 13, "a", Presence::Live);
   balancer.platform(news(Some(4), 5, &[listed]));
   let sent = balancer.frame(12, &absent(4), &[]);
   assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
-  let sent = balancer.packet(Packet::data(flow(1, 1), 2, 100));
-  assert!(carried(&sent).contains(&(13, Purpose::Search)), "{sent:?}");
+  assert_eq!(asked(&balancer.pass(Duration::ZERO)), [13]);
 }
 
 #[test]
@@ -402,13 +478,33 @@
 }
 
 #[test]
-fn a_search_copies_a_bounded_number_of_bytes() {
+fn a_search_copies_no_packet_and_holds_a_bounded_number() {
   let mut balancer = balancer();
-  let packet = Packet::data(flow(1, 1), 2, 100);
-  let mut copied = 0;
   for _ in 0..10_000 {
-    copied += carried(&balancer.packet(packet)).len() * packet.write().len();
+    assert_eq!(balancer.packet(Packet::data(flow(1, 1), 2, 100)), []);
+  }
+  assert_eq!(asked(&balancer.pass(Duration::ZERO)), [11, 12]);
+  let sent = balancer.frame(12, &Frame::Found(flow(1, 1)), &[]);
+  assert_eq!(carried(&sent), [(12, Purpose::Deliver); 16]);
+}
+
+#[test]
+fn all_searches_together_hold_a_bounded_number_of_bytes() {
+  let mut balancer = balancer();
+  let packet = Packet::data(flow(20_000, 1), 2, 100).write();
+  let flows = 2 * (4 << 20) / (16 * packet.len());
+  let flows = u16::try_from(flows).expect("a port each");
+  for port in 20_000..20_000 + flows {
+    for _ in 0..16 {
+      balancer.packet(Packet::data(flow(port, 1), 2, 100));
+    }
+  }
+  balancer.pass(Duration::ZERO);
+  let mut delivered = 0;
+  for port in 20_000..20_000 + flows {
+    let sent = balancer.frame(12, &Frame::Found(flow(port, 1)), &[]);
+    delivered += carried(&sent).len() * packet.len();
   }
-  assert!(copied > 40_000, "copied {copied}");
-  assert!(copied < 60_000, "copied {copied}");
+  assert!(delivered > 4_000_000, "delivered {delivered}");
+  assert!(delivered < 4_300_000, "delivered {delivered}");
 }
--- a/tests/datagram/frame.rs
+++ b/tests/datagram/frame.rs
@@ -13,7 +13,7 @@
 fn a_frame_and_its_packet_are_read_again() {
   let frame = Frame::Carry {
     complete: Revision(4),
-    purpose: Purpose::Search,
+    purpose: Purpose::Test,
     service: 77,
     version: Version(3),
   };
