Ask the own data centre first, and let frames to one process leave together

Cause: after a loss of power the searches that are left cost the small balancers (0.12 cores) 42 questions, tries and answers a flow, and each byte between data centres its price. Change: agents of the own data centre are asked first, the others once all of those said no or after 50 ms; frames that leave at the same time for one process are one datagram; an opening packet waits three times the mean of the answers, 40 to 300 ms; deadlines are looked at after what has arrived was read; a copy of an opening packet goes to the target that is still awaited.

--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -5,6 +5,8 @@
 
 pub mod agent;
 pub mod balancer;
+/// Several frames in one datagram.
+pub mod bundle;
 mod catalog;
 mod codec;
 mod configuration;
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -11,6 +11,7 @@
       Change, Codec, Event, Flow, Frame, Handover, Head, Load, Origin, Outbox, Settings, Spread,
       Tuning, Upstream, Version, event,
       frame::{Purpose, Role, Status},
+      target,
     },
   },
   serde_json::json,
@@ -58,9 +59,13 @@
   /// What the run before had, as balancers tell it.
   pub(super) handed: Handover,
   pub(super) leaving: bool,
+  /// The run that was listed at the upstream's address when the platform was first heard of after
+  /// this process had started; none before that.
+  pub(super) listed_first: Option<Option<target::Id>>,
   pub(super) port: u16,
   pub(super) reported: (Instant, Load),
   pub(super) slots: u16,
+  pub(super) started: Instant,
   /// Whether the process is about to stop.
   pub(super) stopping: bool,
   pub(super) spread: Spread,
@@ -96,9 +101,11 @@
       forgetful_until: now + forgetful,
       handed: Handover::default(),
       leaving: false,
+      listed_first: None,
       port: settings.callers.port(),
       reported: (now, Load::default()),
       slots: 1,
+      started: now,
       stopping: false,
       spread,
       tests: VecDeque::new(),
@@ -145,7 +152,7 @@
       }
       Frame::News(news) => {
         let change = self.spread.news(now, Origin::Peer(from), news, out);
-        self.changed(&change);
+        self.changed(now, &change);
         Ok(())
       }
       Frame::Status(status) => {
@@ -193,9 +200,37 @@
 
   pub(super) fn status(&mut self, now: Instant, from: SocketAddrV4, status: &Status) {
     self.spread.status(now, from, status);
+    self.check_age(now);
   }
 
-  pub(super) fn changed(&mut self, change: &Change) {
+  /// Whether all flows are known because the upstream is younger than this process: no balancer
+  /// can have placed a flow there before it was listed. A run that had lapsed and is listed again
+  /// is no longer warming.
+  fn check_age(&mut self, now: Instant) {
+    if now >= self.forgetful_until {
+      return;
+    }
+    let listed = self.spread.catalog().at(self.upstream.address);
+    let listed = listed.filter(|(_, entry)| entry.gone.is_none());
+    let Some(first) = &self.listed_first else {
+      let since_start = now.saturating_duration_since(self.started);
+      let confirmed = self.spread.confirmed(now);
+      if confirmed.is_some_and(|age| age <= since_start) {
+        self.listed_first = Some(listed.map(|(id, _)| id.clone()));
+      }
+      return;
+    };
+    let Some((id, entry)) = listed else {
+      return;
+    };
+    if entry.target.warming && first.as_ref() != Some(id) {
+      log::info!(target:% = id; "agent: upstream is younger than this process, all flows are known.");
+      self.forgetful_until = now;
+    }
+  }
+
+  pub(super) fn changed(&mut self, now: Instant, change: &Change) {
+    self.check_age(now);
     if change.is_empty() {
       return;
     }
@@ -289,7 +324,7 @@
       Event::Frame { from, bytes } => self.frame(now, from, bytes, out),
       Event::News(origin, news) => {
         let change = self.spread.news(now, origin, news, out);
-        self.changed(&change);
+        self.changed(now, &change);
         Ok(())
       }
       Event::Packet(packet) => self.packet(now, packet, out),
--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -3,6 +3,7 @@
 
 mod machine;
 mod opening;
+mod patience;
 mod place;
 mod search;
 mod searching;
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -1,5 +1,6 @@
 use {
   super::{
+    patience::Patience,
     place::{Place, State},
     search::Search,
     targets::Targets,
@@ -15,7 +16,7 @@
   },
   serde_json::json,
   std::{
-    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddrV4,
     sync::Arc,
     time::{Duration, Instant},
@@ -47,7 +48,9 @@
   pub(super) handed: HashMap<SocketAddrV4, (Instant, Handover)>,
   /// How many bytes of packets wait for their flows to be found.
   pub(super) held_bytes: usize,
-  pub(super) openings: VecDeque<(Instant, Flow)>,
+  /// The opening packets that wait for an answer, by their deadlines.
+  pub(super) openings: BTreeSet<(Instant, Flow)>,
+  pub(super) patience: Patience,
   pub(super) port: u16,
   /// What is to be asked of agents about flows of services, by the digests of their names.
   pub(super) questions: BTreeMap<(SocketAddrV4, u64), Vec<(Flow, u32)>>,
@@ -78,7 +81,8 @@
       flows: HashMap::new(),
       handed: HashMap::new(),
       held_bytes: 0,
-      openings: VecDeque::new(),
+      openings: BTreeSet::new(),
+      patience: Patience::new(tuning.open_wait),
       port: settings.callers.port(),
       questions: BTreeMap::new(),
       questions_due: None,
@@ -252,11 +256,11 @@
   }
 
   pub(super) fn tick(&mut self, now: Instant, out: &mut Outbox) {
-    while let Some((deadline, flow)) = self.openings.front().copied() {
+    while let Some((deadline, flow)) = self.openings.first().copied() {
       if deadline > now {
         break;
       }
-      self.openings.pop_front();
+      self.openings.pop_first();
       self.unanswered(now, deadline, flow, out);
     }
     while let Some((deadline, flow)) = self.searching.first().copied() {
@@ -330,7 +334,7 @@
   }
 
   fn deadline(&self) -> Instant {
-    let opening = self.openings.front().map(|(deadline, _)| *deadline);
+    let opening = self.openings.first().map(|(deadline, _)| *deadline);
     let search = self.searching.first().map(|(deadline, _)| *deadline);
     let status = self.spread.deadline();
     [opening, search, self.questions_due]
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -30,9 +30,11 @@
     out: &mut Outbox,
   ) -> Result<(), Code> {
     let mut opening = Opening {
+      began: now,
       deadline: now,
       may_be_open: head.acknowledges > 0,
       packet: SmallVec::from_slice(packet),
+      sent: now,
       tried: Tried::new(),
     };
     self.end_search(&head.flow);
@@ -45,9 +47,19 @@
         return Ok(());
       }
       Some(Place {
+        agent,
         state: State::Opening(before),
         ..
-      }) => opening.tried = std::mem::take(&mut before.tried),
+      }) => {
+        if now < before.deadline {
+          // Whoever was asked may still answer; its answer to the caller may have been lost.
+          before.may_be_open = true;
+          let agent = *agent;
+          self.carry(agent, Purpose::Open, service, packet, out);
+          return Ok(());
+        }
+        opening.tried = std::mem::take(&mut before.tried);
+      }
       _ => {}
     }
     if self.flows.len() >= self.tuning.flows_max {
@@ -90,9 +102,10 @@
       "balancer: flow is placed."
     );
     opening.tried.push(agent);
-    opening.deadline = now + self.tuning.open_wait;
+    opening.sent = now;
+    opening.deadline = now + self.patience.wait();
     self.targets.placed(agent);
-    self.openings.push_back((opening.deadline, flow));
+    self.openings.insert((opening.deadline, flow));
     self.carry(agent, Purpose::Open, service, &opening.packet, out);
     let place = Place {
       agent,
@@ -151,9 +164,15 @@
     if let Some(place) = self.flows.get_mut(&flow)
       && let State::Opening(opening) = &place.state
     {
-      let asked = opening.deadline.checked_sub(self.tuning.open_wait);
-      let time = now.saturating_duration_since(asked.unwrap_or(now));
+      let asked = if place.agent == from {
+        opening.sent
+      } else {
+        opening.began
+      };
+      let time = now.saturating_duration_since(asked);
       self.counter.observe("open", time);
+      self.patience.observe(time);
+      self.openings.remove(&(opening.deadline, flow));
       place.agent = from;
       place.state = State::Open;
     }
--- /dev/null
+++ b/src/datagram/balancer/patience.rs
@@ -0,0 +1,37 @@
+use std::time::Duration;
+
+/// The weight of the newest time in the mean.
+const NEWEST: f64 = 0.125;
+
+/// How many times the mean an answer may take before it counts as missing.
+const TIMES: f64 = 3.0;
+
+/// The longest wait: half of what passes before a caller's last copy of an opening packet.
+const LONGEST: Duration = Duration::from_millis(300);
+
+/// How long an opening packet may stay unanswered. It grows with the time that answers take: a
+/// balancer that has more to do than it can would otherwise ask for everything several times, and
+/// have even more to do.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+  least: Duration,
+  mean: f64,
+}
+
+impl Patience {
+  /// A patience that is never shorter than `least`.
+  pub fn new(least: Duration) -> Self {
+    Self { least, mean: 0.0 }
+  }
+
+  /// An answer took so long.
+  pub fn observe(&mut self, time: Duration) {
+    self.mean += NEWEST * (time.as_secs_f64() - self.mean);
+  }
+
+  /// How long the next one may take.
+  pub fn wait(&self) -> Duration {
+    let wait = Duration::from_secs_f64(TIMES * self.mean);
+    wait.clamp(self.least, LONGEST)
+  }
+}
--- a/src/datagram/balancer/place.rs
+++ b/src/datagram/balancer/place.rs
@@ -38,6 +38,8 @@
 /// An opening packet that no target has answered yet.
 #[derive(Clone, Debug)]
 pub struct Opening {
+  /// When the first target was asked.
+  pub began: Instant,
   /// When the next target is asked.
   pub deadline: Instant,
   /// Whether a target may have taken it, so that the flow may be open already: one that was asked
@@ -45,6 +47,8 @@
   pub may_be_open: bool,
   /// The packet.
   pub packet: SmallVec<[u8; 40]>,
+  /// When the last target was asked.
+  pub sent: Instant,
   /// Who was asked.
   pub tried: Tried,
 }
--- a/src/datagram/balancer/search.rs
+++ b/src/datagram/balancer/search.rs
@@ -39,6 +39,8 @@
   tried: Agents,
   /// Who has not answered.
   pub waiting: Agents,
+  /// Whether those of other data centres are asked too.
+  pub wide: bool,
 }
 
 impl Search {
@@ -55,13 +57,13 @@
       probe: None,
       tried: Agents::new(),
       waiting: Agents::new(),
+      wide: false,
     }
   }
 
   /// Adds whoever was not asked yet, and returns them.
-  pub fn extend(&mut self, holders: &[SocketAddrV4]) -> Agents {
-    let new = holders.iter().copied();
-    let new = new.filter(|holder| !self.asked.contains(holder));
+  pub fn extend(&mut self, holders: impl Iterator<Item = SocketAddrV4>) -> Agents {
+    let new = holders.filter(|holder| !self.asked.contains(holder));
     let new = new.collect::<Agents>();
     self.asked.extend_from_slice(&new);
     self.waiting.extend_from_slice(&new);
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -17,7 +17,8 @@
 };
 
 impl<C: Codec> Machine<C> {
-  /// Asks all that may have a flow, and holds the packet until one of them says that it has.
+  /// Asks those that may have a flow, and holds the packet until one of them says that it has:
+  /// first those of this data centre, where most flows are, and then all.
   pub(super) fn search(
     &mut self,
     now: Instant,
@@ -29,7 +30,11 @@
     let flow = head.flow;
     if !self.searches.contains_key(&flow) {
       let mut search = Search::new(now, head.acknowledges, except);
-      let asked = search.extend(self.targets.holders(service));
+      let mut asked = search.extend(self.targets.near_holders(service));
+      if asked.is_empty() {
+        search.wide = true;
+        asked = search.extend(self.targets.holders(service));
+      }
       if asked.is_empty() {
         // Nobody who could say no is no proof either.
         log::info!(flow:% = flow, service:% = service; "balancer: flow has nobody to be asked.");
@@ -37,7 +42,12 @@
         return;
       }
       log::info!(flow:% = flow, asked = asked.len(); "balancer: flow is searched for.");
-      search.deadline = now + self.tuning.search;
+      let wait = if search.wide {
+        self.tuning.search
+      } else {
+        self.tuning.search_near
+      };
+      search.deadline = now + wait;
       self.searching.insert((search.deadline, flow));
       self.ask(now, flow, head.acknowledges, &asked);
       self.searches.insert(flow, search);
@@ -103,8 +113,13 @@
     let Some(search) = self.searches.get_mut(&flow) else {
       return;
     };
+    if !search.wide && !search.waiting.is_empty() {
+      return;
+    }
+    search.wide = true;
     let service = self.spread.catalog().service(&flow.route);
-    let holders = service.map_or(&[][..], |service| self.targets.holders(service));
+    let holders = service.iter();
+    let holders = holders.flat_map(|service| self.targets.holders(service));
     // Whoever has become known since is asked too.
     let (new, acknowledges) = (search.extend(holders), search.acknowledges);
     let known = self.spread.catalog().complete() >= search.needs;
@@ -178,11 +193,17 @@
     let Some(search) = self.searches.get_mut(&flow) else {
       return;
     };
+    let narrow = !std::mem::replace(&mut search.wide, true);
     search.waiting.retain(|agent| !targets.is_lost(now, *agent));
     self.conclude(now, flow, out);
     let Some(search) = self.searches.get_mut(&flow) else {
       return;
     };
+    if narrow {
+      search.deadline = now + self.tuning.search;
+      self.searching.insert((search.deadline, flow));
+      return;
+    }
     if search.is_first() {
       log::info!(
         flow:% = flow, silent:? = search.waiting, needs:% = search.needs;
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -166,8 +166,17 @@
   }
 
   /// The agents that may have a flow of a service: those of listed targets and of past ones.
-  pub fn holders(&self, service: &Service) -> &[SocketAddrV4] {
-    self.services.get(service).map_or(&[], Vec::as_slice)
+  pub fn holders(&self, service: &Service) -> impl Iterator<Item = SocketAddrV4> {
+    let holders = self.services.get(service).into_iter().flatten();
+    holders.copied()
+  }
+
+  /// Those of them that stand in this data centre.
+  pub fn near_holders(&self, service: &Service) -> impl Iterator<Item = SocketAddrV4> {
+    self.holders(service).filter(|agent| {
+      let seen = self.by_agent.get(agent);
+      seen.is_some_and(|seen| seen.data_centre == self.data_centre)
+    })
   }
 
   /// Whether an agent's silence has lasted, and its target has left the list: nothing is there.
--- a/src/datagram/node/carrier.rs
+++ b/src/datagram/node/carrier.rs
@@ -3,7 +3,10 @@
   crate::{
     Code,
     code::Fault,
-    datagram::{Event, Machine, Outbox, Via},
+    datagram::{
+      Event, Machine, Outbox, Via,
+      bundle::{self, Bundler},
+    },
     logging,
   },
   crossbeam::channel::Receiver,
@@ -31,6 +34,9 @@
 /// How many datagrams of one socket are taken before the others have their turn.
 const TURN: usize = 32;
 
+/// How late a machine is told of the time at most, where frames wait to be read.
+const BEHIND: Duration = Duration::from_millis(50);
+
 /// The sockets of a process.
 pub struct Sockets {
   packets: UdpSocket,
@@ -54,6 +60,7 @@
 /// Feeds a machine with packets, frames, messages and the time, and sends what it wants sent.
 pub struct Carrier<M> {
   buffer: Vec<u8>,
+  bundler: Bundler,
   machine: M,
   messages: Receiver<Message>,
   out: Outbox,
@@ -82,6 +89,7 @@
       .map_err(failed)?;
     Ok(Self {
       buffer: vec![0; ROOM],
+      bundler: Bundler::default(),
       machine,
       messages,
       out: Outbox::default(),
@@ -121,7 +129,9 @@
       waiting[1] = waiting[1] && self.drain(PACKETS)?;
       waiting[0] = waiting[0] && self.drain(PEERS)?;
       let now = Instant::now();
-      if self.machine.deadline() <= now {
+      // An answer that waits to be read is not missing: what has arrived is read first.
+      let behind = waiting[0] && now < self.machine.deadline() + BEHIND;
+      if self.machine.deadline() <= now && !behind {
         self.machine.step(now, Event::Tick, &mut self.out);
       }
       self.flush();
@@ -137,8 +147,15 @@
     due.saturating_duration_since(now)
   }
 
-  /// Takes some datagrams of one socket; true when more may wait.
+  /// Takes some datagrams of one socket; true when more may wait. What they lead to leaves
+  /// together.
   fn drain(&mut self, token: Token) -> Result<bool, Fault> {
+    let more = self.take_datagrams(token);
+    self.flush();
+    more
+  }
+
+  fn take_datagrams(&mut self, token: Token) -> Result<bool, Fault> {
     let now = Instant::now();
     for _ in 0..TURN {
       let socket = match token {
@@ -157,29 +174,38 @@
         continue;
       };
       let bytes = &mut self.buffer[..length];
-      let event = match token {
-        PEERS => Event::Frame { from, bytes },
-        _ => Event::Packet(bytes),
-      };
-      self.machine.step(now, event, &mut self.out);
-      self.flush();
+      if token != PEERS {
+        self.machine.step(now, Event::Packet(bytes), &mut self.out);
+        continue;
+      }
+      match bundle::frames(bytes) {
+        Ok(frames) => {
+          for bytes in frames {
+            self
+              .machine
+              .step(now, Event::Frame { from, bytes }, &mut self.out);
+          }
+        }
+        Err(code) => self.shared.counter.count(code),
+      }
     }
     Ok(true)
   }
 
   fn flush(&mut self) {
-    for datagram in self.out.datagrams() {
-      let socket = match datagram.via {
-        Via::Peers => &self.sockets.peers,
-        Via::Callers | Via::Upstream => &self.sockets.packets,
-      };
-      if socket
-        .send_to(self.out.bytes(datagram), datagram.to.into())
-        .is_err()
-      {
+    let send = |socket: &UdpSocket, to: SocketAddrV4, bytes: &[u8]| {
+      if socket.send_to(bytes, to.into()).is_err() {
         self.shared.counter.count(Code::SendFailed);
       }
+    };
+    let packets = self.out.datagrams().iter();
+    for packet in packets.filter(|datagram| datagram.via != Via::Peers) {
+      send(&self.sockets.packets, packet.to, self.out.bytes(packet));
     }
+    let peers = &self.sockets.peers;
+    self
+      .bundler
+      .send(&self.out, |to, bytes| send(peers, to, bytes));
     self.out.clear();
   }
 
--- a/src/datagram/settings.rs
+++ b/src/datagram/settings.rs
@@ -112,6 +112,9 @@
   /// How long a search waits for answers before it asks those again that are silent; each time
   /// twice as long.
   pub search: Duration,
+  /// How long agents of the balancer's own data centre are waited for before all others are asked
+  /// too: longer than `test`, since one that has just started tries first.
+  pub search_near: Duration,
   /// How many bytes of packets are held while their flows are searched for.
   pub search_bytes: usize,
   /// A process that was not heard of for so long is passed over.
@@ -144,6 +147,7 @@
       report: Duration::from_millis(100),
       search: Duration::from_millis(150),
       search_bytes: 4 << 20,
+      search_near: Duration::from_millis(50),
       silent: Duration::from_millis(1500),
       status: Duration::from_millis(500),
       takeover: Duration::from_millis(1800),
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -3,7 +3,7 @@
 use {
   crate::{
     plain::{Kind, Packet, Plain},
-    support::{Sent, Stepped, configured, flow, listed, news, peer, unlisted},
+    support::{Sent, Stepped, configured, flow, listed, news, peer, unlisted, warming},
   },
   assert_matches::assert_matches,
   fallwell::{
@@ -246,6 +246,43 @@
   assert!(is_told(&sent, &absent(flow, NOTHING)), "{sent:?}");
 }
 
+#[test]
+fn an_agent_whose_upstream_is_younger_knows_all_flows() {
+  let mut agent = Stepped::agent(9, "a", false);
+  let unknown = Frame::Unsure(vec![flow(40_001, 1)]);
+  let old = listed(2, "old", 9, "a", Presence::Live);
+  agent.platform(news(None, 2, &[configured(1, 1, &[(1, "a")]), old]));
+  let sent = ask(&mut agent, &[flow(40_001, 1)], 6, "a");
+  assert!(is_told(&sent, &unknown), "{sent:?}");
+  agent.platform(news(Some(2), 3, &[warming(3, "new", 9, "a")]));
+  let sent = ask(&mut agent, &[flow(40_001, 1)], 6, "a");
+  assert!(
+    is_told(&sent, &absent(flow(40_001, 1), Revision(3))),
+    "{sent:?}"
+  );
+}
+
+#[test]
+fn an_upstream_that_may_be_older_than_its_agent_is_asked() {
+  let unknown = Frame::Unsure(vec![flow(40_001, 1)]);
+  let first = || configured(1, 1, &[(1, "a")]);
+  let back = listed(3, "new", 9, "a", Presence::Live);
+  let cases = [
+    // It was listed when this process first heard of the platform.
+    vec![news(None, 2, &[first(), warming(2, "new", 9, "a")])],
+    // It lapsed, and is listed again.
+    vec![news(None, 2, &[first()]), news(Some(2), 3, &[back])],
+  ];
+  for case in cases {
+    let mut agent = Stepped::agent(9, "a", false);
+    for news in case {
+      agent.platform(news);
+    }
+    let sent = ask(&mut agent, &[flow(40_001, 1)], 6, "a");
+    assert!(is_told(&sent, &unknown), "{sent:?}");
+  }
+}
+
 #[test]
 fn an_agent_of_another_service_has_none_of_its_flows() {
   let (mut agent, here) = with_flow(true);
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -3,7 +3,7 @@
 use {
   crate::{
     plain::{Kind, Packet, Plain},
-    support::{Sent, Stepped, configured, flow, listed, news, peer, unlisted},
+    support::{Sent, Stepped, configured, elsewhere, flow, listed, news, peer, unlisted},
   },
   assert_matches::assert_matches,
   fallwell::{
@@ -131,6 +131,35 @@
   assert_ne!(first, second);
 }
 
+#[test]
+fn a_balancer_whose_answers_come_late_waits_longer_before_it_asks_the_next() {
+  let mut balancer = balancer();
+  for port in 1..=40 {
+    let sent = balancer.packet(Packet::open(flow(port, 1), 0));
+    let (first, _) = carried(&sent)[0];
+    balancer.now += Duration::from_millis(35);
+    balancer.frame(first, &Frame::Opened(flow(port, 1), Load::default()), &[]);
+  }
+  let sent = balancer.packet(Packet::open(flow(50, 1), 0));
+  let (first, _) = carried(&sent)[0];
+  assert_eq!(carried(&balancer.pass(Duration::from_millis(90))), []);
+  let sent = balancer.pass(Duration::from_millis(30));
+  let [(second, Purpose::Open)] = carried(&sent)[..] else {
+    panic!("{sent:?}");
+  };
+  assert_ne!(first, second);
+}
+
+#[test]
+fn a_copy_of_an_opening_packet_goes_where_the_answer_is_still_awaited() {
+  let mut balancer = balancer();
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  let first = carried(&sent)[0];
+  balancer.now += Duration::from_millis(20);
+  let sent = balancer.packet(Packet::open(flow(1, 1), 1));
+  assert_eq!(carried(&sent), [first]);
+}
+
 #[test]
 fn a_refused_opening_packet_goes_on_at_once() {
   let mut balancer = balancer();
@@ -206,6 +235,33 @@
   );
 }
 
+#[test]
+fn targets_of_the_own_data_centre_are_asked_first() {
+  let mut balancer = balancer();
+  let far = [
+    elsewhere(5, "up-13", 13, "a"),
+    elsewhere(6, "up-14", 14, "a"),
+  ];
+  balancer.platform(news(Some(4), 6, &far));
+  assert_eq!(search(&mut balancer), [11, 12]);
+  balancer.frame(11, &absent(6), &[]);
+  assert!(asked(&balancer.pass(Duration::ZERO)).is_empty());
+  // All of them have said no.
+  balancer.frame(12, &absent(6), &[]);
+  assert_eq!(asked(&balancer.pass(Duration::ZERO)), [13, 14]);
+  balancer.frame(13, &absent(6), &[]);
+  let sent = balancer.frame(14, &absent(6), &[]);
+  assert!(is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+}
+
+#[test]
+fn silence_in_the_own_data_centre_delays_a_search_by_little() {
+  let mut balancer = balancer();
+  balancer.platform(news(Some(4), 5, &[elsewhere(5, "up-13", 13, "a")]));
+  assert_eq!(search(&mut balancer), [11, 12]);
+  assert_eq!(asked(&balancer.pass(Duration::from_millis(50))), [13]);
+}
+
 #[test]
 fn only_the_silent_are_asked_again_and_not_for_long() {
   let mut balancer = balancer();
--- a/tests/datagram/main.rs
+++ b/tests/datagram/main.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod balancer;
+mod bundle;
 mod catalog;
 mod frame;
 mod logs;
