Let new flows that no target can take wait in the balancer, the newest first

Cause: after a loss of power a new flow that would wait longer than 0.55 of its objective was reset; its caller tried twice more within 15 ms and failed, while targets had room half a second later. Change: it waits up to 0.9 s, no more of them than the targets answer in 0.6 s; whoever may still be answered in time goes first, others where a slot is free. Beyond that it is told at once, as before. A flow that waited in vain is reset only if all of its caller's copies came here: another balancer may have had it opened. Signals that come before the first line of the log count.

--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -3,6 +3,7 @@
 
 mod machine;
 mod opening;
+mod parking;
 mod patience;
 mod place;
 mod questions;
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -1,5 +1,6 @@
 use {
   super::{
+    parking::Parking,
     patience::Patience,
     place::{Place, State},
     questions::Questions,
@@ -51,6 +52,7 @@
   pub(super) held_bytes: usize,
   /// The opening packets that wait for an answer, by their deadlines.
   pub(super) openings: BTreeSet<(Instant, Flow)>,
+  pub(super) parking: Parking,
   pub(super) patience: Patience,
   pub(super) port: u16,
   /// What is to be asked of agents.
@@ -82,6 +84,7 @@
       handed: HashMap::new(),
       held_bytes: 0,
       openings: BTreeSet::new(),
+      parking: Parking::new(now),
       patience: Patience::new(tuning.open_wait),
       port: settings.callers.port(),
       questions: Questions::new(now),
@@ -115,6 +118,11 @@
       Some(place) if matches!(place.state, State::Dead) => {
         self.reset(&head.flow, head.acknowledges, out);
       }
+      Some(place) if matches!(place.state, State::Parked(..)) => {
+        // A target that another balancer had asked opened it.
+        self.flows.remove(&head.flow);
+        self.search(now, &head, &service, packet, None);
+      }
       Some(place) => {
         // Its caller was answered; if not from there, the agent says so.
         place.state = State::Open;
@@ -269,6 +277,7 @@
       self.searching.pop_first();
       self.search_over(now, flow, out);
     }
+    self.release(now, out);
     let complete = self.spread.catalog().complete();
     self.questions.send(now, complete, out);
     if now >= self.expired + EXPIRE {
@@ -337,7 +346,8 @@
     let opening = self.openings.first().map(|(deadline, _)| *deadline);
     let search = self.searching.first().map(|(deadline, _)| *deadline);
     let status = self.spread.deadline();
-    [opening, search, self.questions.deadline()]
+    let parked = self.parking.deadline();
+    [opening, parked, search, self.questions.deadline()]
       .into_iter()
       .flatten()
       .fold(status, Instant::min)
@@ -346,6 +356,7 @@
   fn dump(&self, now: Instant) -> serde_json::Value {
     json!({
       "flows": self.flows.len(),
+      "parked": self.parking.total(),
       "searches": self.searches.len(),
       "spread": self.spread.dump(now),
       "targets": self.targets.dump(now),
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -31,6 +31,7 @@
   ) -> Result<(), Code> {
     let mut opening = Opening {
       began: now,
+      copy: head.acknowledges,
       deadline: now,
       may_be_open: head.acknowledges > 0,
       packet: SmallVec::from_slice(packet),
@@ -60,6 +61,13 @@
         }
         opening.tried = std::mem::take(&mut before.tried);
       }
+      Some(Place {
+        state: State::Parked(_, before),
+        ..
+      }) => {
+        before.take_copy(head.acknowledges, opening.packet);
+        return Ok(());
+      }
       _ => {}
     }
     if self.flows.len() >= self.tuning.flows_max {
@@ -82,20 +90,28 @@
       opening.tried.clear();
       choice = self.targets.choose(now, service, &opening.tried);
     }
-    let Some(Choice { agent, wait_ms }) = choice else {
+    let Some(choice) = choice else {
       log::info!(flow:% = flow, service:% = service; "balancer: flow has no target.");
       return Err(Code::PacketUnroutable);
     };
-    if !opening.may_be_open && self.is_too_long(&flow, wait_ms) {
-      log::info!(
-        flow:% = flow, service:% = service, at:% = agent, wait_ms = wait_ms,
-        age_ms:? = self.targets.age_ms(now, agent), version:% = self.spread.catalog().version();
-        "balancer: wait is too long and flow is reset."
-      );
-      self.flows.remove(&flow);
-      self.reset(&flow, 0, out);
-      return Err(Code::QueueFull);
+    if self.is_too_long(&flow, choice.wait_ms) {
+      return self.park(now, flow, service, opening, Some(choice), out);
     }
+    self.send_to(now, flow, service, opening, choice, out);
+    Ok(())
+  }
+
+  /// Sends an opening packet to a target.
+  pub(super) fn send_to(
+    &mut self,
+    now: Instant,
+    flow: Flow,
+    service: &Service,
+    mut opening: Opening,
+    choice: Choice,
+    out: &mut Outbox,
+  ) {
+    let Choice { agent, wait_ms, .. } = choice;
     log::info!(
       flow:% = flow, service:% = service, to:% = agent, before = opening.tried.len(),
       wait_ms = wait_ms, version:% = self.spread.catalog().version();
@@ -113,7 +129,6 @@
       state: State::Opening(opening),
     };
     self.flows.insert(flow, place);
-    Ok(())
   }
 
   /// Whether a new flow would wait so long that it is better told at once: what waits in vain
@@ -124,6 +139,119 @@
     wait_ms > objective.as_secs_f64() * 1000.0 * self.tuning.wait_part
   }
 
+  /// Keeps an opening packet until a target can take it, if there is hope for it; its caller is
+  /// told at once if there is none.
+  fn park(
+    &mut self,
+    now: Instant,
+    flow: Flow,
+    service: &Service,
+    opening: Opening,
+    choice: Option<Choice>,
+    out: &mut Outbox,
+  ) -> Result<(), Code> {
+    let balancers = self.spread.balancers(now).len() + 1;
+    let rate = self.targets.rate(service) / balancers as f64;
+    let room = rate * self.tuning.park_room.as_secs_f64();
+    if (self.parking.len(service) as f64) < room {
+      log::info!(
+        flow:% = flow, service:% = service, wait_ms:? = choice.map(|choice| choice.wait_ms),
+        before = self.parking.len(service);
+        "balancer: flow waits for a target."
+      );
+      self.parking.push(now, service, flow);
+      let place = Place {
+        agent: self.spread.address(),
+        seen: now,
+        state: State::Parked(now, opening),
+      };
+      self.flows.insert(flow, place);
+      return Ok(());
+    }
+    log::info!(
+      flow:% = flow, service:% = service, at:? = choice.map(|choice| choice.agent),
+      wait_ms:? = choice.map(|choice| choice.wait_ms),
+      age_ms:? = choice.and_then(|choice| self.targets.age_ms(now, choice.agent)),
+      version:% = self.spread.catalog().version(), parked = self.parking.len(service);
+      "balancer: wait is too long and flow is reset."
+    );
+    self.give_up(&flow, &opening, out);
+    Err(Code::QueueFull)
+  }
+
+  /// Forgets a flow that no target was given, as far as this process knows, and tells its caller.
+  fn give_up(&mut self, flow: &Flow, opening: &Opening, out: &mut Outbox) {
+    self.flows.remove(flow);
+    if !opening.may_be_open {
+      self.reset(flow, 0, out);
+    }
+  }
+
+  /// Forgets a flow that has been parked for too long. Its caller is told if all copies came here:
+  /// another balancer may have had the flow opened by one that did not.
+  fn give_up_parked(&mut self, flow: &Flow, mut opening: Opening, out: &mut Outbox) {
+    opening.may_be_open |= opening.copy + 1 < C::COPIES;
+    log::info!(
+      flow:% = flow, copy = opening.copy, may_be_open = opening.may_be_open;
+      "balancer: flow waited too long and is given up."
+    );
+    self.give_up(flow, &opening, out);
+  }
+
+  /// Sends parked flows to targets that can take them. The newest goes first: it may still be
+  /// answered in time, and whoever is late is so anyway.
+  pub(super) fn release(&mut self, now: Instant, out: &mut Outbox) {
+    for service in self.parking.due(now) {
+      self.expire_parked(now, &service, out);
+      while let Some((since, flow)) = self.parking.pop_newest(&service) {
+        let Some(opening) = self.parked(since, &flow) else {
+          continue;
+        };
+        let opening = opening.clone();
+        let choice = self.targets.choose(now, &service, &Tried::new());
+        let choice = choice.filter(|choice| self.fits(now, since, &flow, choice));
+        let Some(choice) = choice else {
+          self.parking.put_back(&service, (since, flow));
+          break;
+        };
+        if self.spread.catalog().service(&flow.route) != Some(&service) {
+          self.give_up_parked(&flow, opening, out);
+          continue;
+        }
+        self.send_to(now, flow, &service, opening, choice, out);
+      }
+    }
+  }
+
+  /// The opening packet of a flow that has been parked since then.
+  fn parked(&self, since: Instant, flow: &Flow) -> Option<&Opening> {
+    match &self.flows.get(flow)?.state {
+      State::Parked(at, opening) if *at == since => Some(opening),
+      _ => None,
+    }
+  }
+
+  /// Whether a parked flow may go to a target: it is answered in time there, or keeps nobody
+  /// waiting who may be.
+  fn fits(&self, now: Instant, since: Instant, flow: &Flow, choice: &Choice) -> bool {
+    let age_ms = now.saturating_duration_since(since).as_secs_f64() * 1000.0;
+    choice.is_free || !self.is_too_long(flow, choice.wait_ms + age_ms)
+  }
+
+  fn expire_parked(&mut self, now: Instant, service: &Service, out: &mut Outbox) {
+    let Some(limit) = now.checked_sub(self.tuning.park) else {
+      return;
+    };
+    while let Some((since, flow)) = self.parking.pop_oldest(service, limit) {
+      let Some(opening) = self.parked(since, &flow) else {
+        continue;
+      };
+      let opening = opening.clone();
+      self.counter.count(Code::QueueFull);
+      self.give_up_parked(&flow, opening, out);
+    }
+  }
+
   /// An opening packet goes on to the next target.
   pub(super) fn place_next(&mut self, now: Instant, flow: Flow, answered: bool, out: &mut Outbox) {
     let service = self.spread.catalog().service(&flow.route).cloned();
@@ -137,14 +265,14 @@
     let Some(service) = service else {
       return;
     };
-    if opening.tried.len() >= TRIES_MAX {
-      return;
-    }
     let mut opening = opening.clone();
     opening.may_be_open |= !answered;
-    // The next copy of its caller tries again where nothing is left now.
     let next = self.targets.choose(now, &service, &opening.tried);
-    if next.is_none() {
+    if opening.tried.len() >= TRIES_MAX || next.is_none() {
+      // Where targets are silent, the next copy of its caller tries again.
+      if answered && let Err(code) = self.park(now, flow, &service, opening, next, out) {
+        self.counter.count(code);
+      }
       return;
     }
     if let Err(code) = self.place(now, flow, &service, opening, out) {
@@ -161,9 +289,15 @@
   ) {
     self.targets.loaded(now, from, load);
     self.targets.opened(from);
-    if let Some(place) = self.flows.get_mut(&flow)
-      && let State::Opening(opening) = &place.state
-    {
+    let Some(place) = self.flows.get_mut(&flow) else {
+      return;
+    };
+    if let State::Parked(..) = place.state {
+      // One that was asked before it was parked.
+      place.agent = from;
+      place.state = State::Open;
+    }
+    if let State::Opening(opening) = &place.state {
       let asked = if place.agent == from {
         opening.sent
       } else {
--- a/src/datagram/balancer/place.rs
+++ b/src/datagram/balancer/place.rs
@@ -31,15 +31,28 @@
   Opening(Opening),
   /// Its target has it, as far as known.
   Open,
+  /// The opening packet waits in the balancer, since then, until a target can take it.
+  Parked(Instant, Opening),
   /// It is nowhere, and its caller was told.
   Dead,
 }
 
+impl Opening {
+  /// Another copy came. One that is missing went to another balancer, or was lost.
+  pub fn take_copy(&mut self, copy: u32, packet: SmallVec<[u8; 40]>) {
+    self.may_be_open |= copy > self.copy + 1;
+    self.copy = self.copy.max(copy);
+    self.packet = packet;
+  }
+}
+
 /// An opening packet that no target has answered yet.
 #[derive(Clone, Debug)]
 pub struct Opening {
   /// When the first target was asked.
   pub began: Instant,
+  /// The last of the caller's copies that came here, none before it missing.
+  pub copy: u32,
   /// When the next target is asked.
   pub deadline: Instant,
   /// Whether a target may have taken it, so that the flow may be open already: one that was asked
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -83,6 +83,8 @@
 pub struct Choice {
   /// Its agent.
   pub agent: SocketAddrV4,
+  /// Whether a request would be worked on at once.
+  pub is_free: bool,
   /// The time until a request would be answered there, in milliseconds.
   pub wait_ms: f64,
 }
@@ -159,12 +161,22 @@
       Some((cost, agent))
     });
     let (_, agent) = costs.min_by(|one, other| one.0.total_cmp(&other.0))?;
+    let seen = self.by_agent.get(agent)?;
     Some(Choice {
       agent: *agent,
-      wait_ms: wait(self.by_agent.get(agent)?),
+      is_free: seen.load.work.saturating_add(seen.pending) < seen.slots,
+      wait_ms: wait(seen),
     })
   }
 
+  /// How many requests the targets of a service answer in a second, as far as known.
+  pub fn rate(&self, service: &Service) -> f64 {
+    let listed = self.by_agent.values();
+    let listed = listed.filter(|seen| seen.service == *service && seen.gone.is_none());
+    let rates = listed.map(|seen| f64::from(seen.slots) * 1000.0 / seen.load.time_ms());
+    rates.sum()
+  }
+
   /// The agents that may have a flow of a service: those of listed targets and of past ones.
   pub fn holders(&self, service: &Service) -> impl Iterator<Item = SocketAddrV4> {
     let holders = self.services.get(service).into_iter().flatten();
--- a/src/datagram/codec.rs
+++ b/src/datagram/codec.rs
@@ -5,6 +5,9 @@
 
 /// How the packets of the flows look. The system never changes what an upstream or a caller reads.
 pub trait Codec: Clone + Send + 'static {
+  /// How many copies of an opening packet a caller sends, each numbered (`Head::acknowledges`).
+  const COPIES: u32;
+
   /// Reads a packet on its way to an upstream.
   fn read_from_caller(&self, packet: &[u8]) -> Result<Head, Code>;
 
--- a/src/datagram/load.rs
+++ b/src/datagram/load.rs
@@ -18,15 +18,26 @@
 /// The time that a request is assumed to take where none was measured, in milliseconds.
 const SERVICE_MS: f64 = 40.0;
 
+impl Load {
+  /// The time that a request takes that does not wait, in milliseconds: measured or assumed.
+  pub fn time_ms(&self) -> f64 {
+    assumed(f64::from(self.service_ms))
+  }
+}
+
 /// The time until a request more would be answered at a target with so many slots, in
 /// milliseconds; `service_ms` is the time of one that does not wait, 0 where that is unknown.
 pub fn wait_ms(service_ms: f64, work: u16, slots: u16) -> f64 {
-  let service_ms = if service_ms == 0.0 {
-    SERVICE_MS
-  } else {
-    service_ms
-  };
+  let service_ms = assumed(service_ms);
   let slots = f64::from(slots);
   let queue = (f64::from(work) + 1.0 - slots).max(0.0);
   service_ms + queue * service_ms / slots
 }
+
+fn assumed(service_ms: f64) -> f64 {
+  if service_ms == 0.0 {
+    SERVICE_MS
+  } else {
+    service_ms
+  }
+}
--- a/src/datagram/node/run.rs
+++ b/src/datagram/node/run.rs
@@ -95,12 +95,13 @@
   S: Source,
 {
   logging::start(&settings.log)?;
+  // Signals that come this early count too.
+  let mut process = Process::new(Arc::clone(&part.counter))?;
   log::info!(
     role:% = part.role, address:% = settings.peers, data_centre:% = settings.data_centre,
     first_start = settings.first_start, seeds = settings.seeds.len();
     "node: process starts."
   );
-  let mut process = Process::new(Arc::clone(&part.counter))?;
   let sockets = Sockets::bind(settings.peers, part.packets)?;
   let failed = |error: std::io::Error| Fault::new(Code::ChildFailed, error);
   let poll = Poll::new().map_err(failed)?;
--- a/tests/datagram/plain.rs
+++ b/tests/datagram/plain.rs
@@ -89,6 +89,8 @@
 pub struct Plain;
 
 impl Codec for Plain {
+  const COPIES: u32 = 3;
+
   fn read_from_caller(&self, packet: &[u8]) -> Result<Head, Code> {
     Packet::read(packet).map(|packet| packet.head())
   }
