Count the time of a request from its last packet

Cause: an upload under way counted as work from its first packet, so that its service time was its transfer and the wait of the next one far too long. Change: the time counts from the newest data of the caller; what is sent again is not newer.

--- a/src/datagram/agent/answers.rs
+++ b/src/datagram/agent/answers.rs
@@ -66,6 +66,9 @@
         entry.bytes = 0;
         let time = now.saturating_duration_since(since);
         self.counter.observe("answer", time);
+        // The upstream works on a request once it is whole.
+        let whole = entry.newest.map_or(since, |(at, _)| at.max(since));
+        let time = now.saturating_duration_since(whole);
         self.work.answered(now, time, entry.ahead, self.slots);
       } else {
         self.work.ended();
--- a/src/datagram/agent/held.rs
+++ b/src/datagram/agent/held.rs
@@ -11,6 +11,9 @@
   pub bytes: u32,
   /// Whether it counts as work since its first request is about to come.
   pub expected: bool,
+  /// When the caller's newest data passed, and its sequence number: what was sent again is not
+  /// newer.
+  pub newest: Option<(Instant, u32)>,
   /// When its last packet passed, either way.
   pub seen: Instant,
   /// How far it is.
@@ -20,6 +23,14 @@
 }
 
 impl Held {
+  /// Data of the caller passed.
+  pub fn take_data(&mut self, now: Instant, sequence: u32) {
+    let newer = |(_, known): (_, u32)| sequence.wrapping_sub(known).cast_signed() > 0;
+    if self.newest.is_none_or(newer) {
+      self.newest = Some((now, sequence));
+    }
+  }
+
   /// A flow that is not known to have moved anything yet.
   pub fn new(now: Instant, state: State, balancer: Option<SocketAddrV4>) -> Self {
     Self {
@@ -27,6 +38,7 @@
       balancer,
       bytes: 0,
       expected: false,
+      newest: None,
       seen: now,
       state,
       waits: None,
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -391,3 +391,25 @@
   agent.now += Duration::from_secs(4);
   assert_eq!(told(&mut agent), 0);
 }
+
+#[test]
+fn the_time_of_an_upload_counts_from_its_last_packet() {
+  let (mut agent, flow) = with_flow(true);
+  for sequence in 3..50 {
+    agent.now += Duration::from_millis(10);
+    deliver(
+      &mut agent,
+      Purpose::Deliver,
+      Packet::data(flow, sequence, 101),
+    );
+  }
+  agent.now += Duration::from_millis(5);
+  // What is sent again is no news.
+  deliver(&mut agent, Purpose::Deliver, Packet::data(flow, 20, 101));
+  agent.now += Duration::from_millis(2);
+  agent.packet(Packet::data(flow, 101, 50));
+  let other = crate::support::flow(40_002, 1);
+  deliver(&mut agent, Purpose::Open, Packet::open(other, 0));
+  let sent = agent.packet(answer(other, 500));
+  assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(_, load), _) if load.service_ms == 7);
+}
