Count no work for data that is sent again, and cross rather than wait too long

Ruled out: the loss of power (it began at 22 s), cold targets. Change: only data newer than what was seen begins work; where the cheapest target makes a new flow wait too long, any one that does not is taken.

--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -110,10 +110,8 @@
       return;
     }
     entry.bytes = entry.bytes.saturating_add(carried.packet.len() as u32);
-    if carried.head.data > 0 {
-      entry.take_data(now, carried.head.sequence);
-    }
-    if carried.head.data > 0 && entry.waits.is_none() {
+    let newer = carried.head.data > 0 && entry.take_data(now, carried.head.sequence);
+    if newer && entry.waits.is_none() {
       entry.waits = Some(now);
       if !std::mem::take(&mut entry.expected) {
         self.work.begun();
--- a/src/datagram/agent/held.rs
+++ b/src/datagram/agent/held.rs
@@ -23,12 +23,14 @@
 }
 
 impl Held {
-  /// Data of the caller passed.
-  pub fn take_data(&mut self, now: Instant, sequence: u32) {
+  /// Data of the caller passed; false for what was sent again.
+  pub fn take_data(&mut self, now: Instant, sequence: u32) -> bool {
     let newer = |(_, known): (_, u32)| sequence.wrapping_sub(known).cast_signed() > 0;
-    if self.newest.is_none_or(newer) {
+    let newer = self.newest.is_none_or(newer);
+    if newer {
       self.newest = Some((now, sequence));
     }
+    newer
   }
 
   /// A flow that is not known to have moved anything yet.
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -85,10 +85,10 @@
     mut opening: Opening,
     out: &mut Outbox,
   ) -> Result<(), Code> {
-    let mut choice = self.targets.choose(now, service, &opening.tried);
+    let mut choice = self.choose(now, &flow, service, &opening.tried);
     if choice.is_none() && !opening.tried.is_empty() {
       opening.tried.clear();
-      choice = self.targets.choose(now, service, &opening.tried);
+      choice = self.choose(now, &flow, service, &opening.tried);
     }
     let Some(choice) = choice else {
       log::info!(flow:% = flow, service:% = service; "balancer: flow has no target.");
@@ -134,9 +134,19 @@
   /// Whether a new flow would wait so long that it is better told at once: what waits in vain
   /// makes all others wait.
   pub(super) fn is_too_long(&self, flow: &Flow, wait_ms: f64) -> bool {
+    wait_ms > self.limit_ms(flow)
+  }
+
+  /// How long a new flow may wait for its answer, in milliseconds.
+  fn limit_ms(&self, flow: &Flow) -> f64 {
     let route = self.spread.catalog().route(&flow.route);
     let objective = route.map_or(Duration::MAX, |route| route.objective);
-    wait_ms > objective.as_secs_f64() * 1000.0 * self.tuning.wait_part
+    objective.as_secs_f64() * 1000.0 * self.tuning.wait_part
+  }
+
+  fn choose(&self, now: Instant, flow: &Flow, service: &Service, tried: &Tried) -> Option<Choice> {
+    let limit_ms = self.limit_ms(flow);
+    self.targets.choose(now, service, tried, limit_ms)
   }
 
   /// Keeps an opening packet until a target can take it, if there is hope for it; its caller is
@@ -208,7 +218,7 @@
           continue;
         };
         let opening = opening.clone();
-        let choice = self.targets.choose(now, &service, &Tried::new());
+        let choice = self.choose(now, &flow, &service, &Tried::new());
         let choice = choice.filter(|choice| self.fits(now, since, &flow, choice));
         let Some(choice) = choice else {
           self.parking.put_back(&service, (since, flow));
@@ -267,7 +277,7 @@
     };
     let mut opening = opening.clone();
     opening.may_be_open |= !answered;
-    let next = self.targets.choose(now, &service, &opening.tried);
+    let next = self.choose(now, &flow, &service, &opening.tried);
     if opening.tried.len() >= TRIES_MAX || next.is_none() {
       // Where targets are silent, the next copy of its caller tries again.
       if answered && let Err(code) = self.park(now, flow, &service, opening, next, out) {
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -147,8 +147,24 @@
   }
 
   /// The target for a new flow: the one where it waits the least, for whoever is near first; with
-  /// the time until it would be answered there.
-  pub fn choose(&self, now: Instant, service: &Service, tried: &Tried) -> Option<Choice> {
+  /// the time until it would be answered there. Where that is more than `limit_ms`, any one where
+  /// it is less is better, however far.
+  pub fn choose(
+    &self,
+    now: Instant,
+    service: &Service,
+    tried: &Tried,
+    limit_ms: f64,
+  ) -> Option<Choice> {
+    let best = self.best(now, service, tried, f64::INFINITY)?;
+    if best.wait_ms <= limit_ms {
+      return Some(best);
+    }
+    self.best(now, service, tried, limit_ms).or(Some(best))
+  }
+
+  /// The one of the least cost, of those where a new flow waits no longer than a limit.
+  fn best(&self, now: Instant, service: &Service, tried: &Tried, limit_ms: f64) -> Option<Choice> {
     let typical_ms = self.typical_ms(service);
     let agents = self.services.get(service)?.iter();
     let open = agents.filter(|agent| !tried.contains(agent));
@@ -157,6 +173,9 @@
       if seen.service != *service {
         return None;
       }
+      if wait(seen) > limit_ms {
+        return None;
+      }
       let cost = self.cost(now, seen, typical_ms)?;
       Some((cost, agent))
     });
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -413,3 +413,17 @@
   let sent = agent.packet(answer(other, 500));
   assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(_, load), _) if load.service_ms == 7);
 }
+
+#[test]
+fn data_that_is_sent_again_after_its_answer_is_no_work() {
+  let (mut agent, flow) = with_flow(true);
+  agent.packet(Packet::data(flow, 101, 2));
+  for _ in 0..10 {
+    deliver(&mut agent, Purpose::Deliver, Packet::data(flow, 2, 101));
+  }
+  let other = crate::support::flow(40_002, 1);
+  deliver(&mut agent, Purpose::Open, Packet::open(other, 0));
+  let sent = agent.packet(answer(other, 500));
+  // The new flow's own request is about to come.
+  assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(_, load), _) if load.work == 1);
+}
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -211,6 +211,27 @@
   assert_eq!(carried(&sent), [(12, Purpose::Open)]);
 }
 
+#[test]
+fn a_free_target_elsewhere_is_better_than_waiting_too_long() {
+  let mut balancer = balancer();
+  balancer.platform(news(Some(4), 5, &[elsewhere(5, "up-13", 13, "a")]));
+  // Crossing costs a request of so many bytes more than any wait here.
+  let large = |work| Load {
+    bytes: 60_000,
+    work,
+    ..Load::default()
+  };
+  for host in [11, 12] {
+    tell(&mut balancer, host, 1, large(6));
+  }
+  tell(&mut balancer, 13, 1, large(0));
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  assert_matches!(carried(&sent)[..], [(11 | 12, Purpose::Open)]);
+  full(&mut balancer);
+  let sent = balancer.packet(Packet::open(flow(2, 1), 0));
+  assert_eq!(carried(&sent), [(13, Purpose::Open)]);
+}
+
 #[test]
 fn a_flow_that_all_targets_refuse_waits_for_a_free_one() {
   let mut balancer = balancer();
