--- a/src/command/get.rs
+++ b/src/command/get.rs
@@ -1,6 +1,6 @@
 use {
   super::{ask, finish, invalid, output::Output},
-  crate::{code::Fault, id},
+  crate::code::Fault,
   pico_args::Arguments,
   serde_json::Value,
   std::net::SocketAddr,
@@ -18,7 +18,7 @@
 
 /// The help of `describe`.
 pub const DESCRIBE_HELP: &str = "\
-usage: fallwell describe --api ADDRESS --service ID
+usage: fallwell describe --api ADDRESS --service ID|NAME
 
 Shows one service as JSON: its document, its conditions, and the reason of a refusal.
 ";
@@ -36,7 +36,7 @@
 /// Shows one service.
 pub async fn describe(mut arguments: Arguments) -> Result<(), Fault> {
   let api: SocketAddr = arguments.value_from_str("--api").map_err(invalid)?;
-  let service: id::Service = arguments.value_from_str("--service").map_err(invalid)?;
+  let service: String = arguments.value_from_str("--service").map_err(invalid)?;
   finish(arguments)?;
   let resource = ask(api, &format!("/v1/services/{service}")).await?;
   println!("{resource:#}");
@@ -57,9 +57,9 @@
     let document = &service["document"];
     println!(
       "{:>6} {:>10} {:>8} {:>8} {:>8} {:>8}  {}",
-      service["id"],
-      service["generation"],
-      service["revision"],
+      text(&service["id"]),
+      text(&service["generation"]),
+      text(&service["revision"]),
       service["conditions"]["accepted"]["status"],
       service["conditions"]["in_force"]["status"],
       document["targets"].as_array().map_or(0, Vec::len),
@@ -67,3 +67,11 @@
     );
   }
 }
+
+/// A value in a table; datagram services have a name and no id.
+fn text(value: &Value) -> String {
+  match value {
+    Value::Null => "-".into(),
+    value => value.to_string(),
+  }
+}
--- a/src/command/wait.rs
+++ b/src/command/wait.rs
@@ -6,6 +6,7 @@
   },
   pico_args::Arguments,
   std::{
+    fmt::{self, Display, Formatter},
     net::SocketAddr,
     time::{Duration, Instant},
   },
@@ -14,14 +15,16 @@
 /// The help of the verb.
 pub const HELP: &str = "\
 usage: fallwell wait --api ADDRESS... --service ID --generation N [--timeout SECONDS]
+       fallwell wait --api ADDRESS... --version N [--timeout SECONDS]
 
-Waits until a generation of a service is in force at every process named, and fails with who lags
-and why when it is not in time.
+Waits until a generation of a service, or a version of the configuration of datagram services, is
+in force at every process named, and fails with who lags and why when it is not in time.
 
   --api ADDRESS       the resource API of a process; may be given many times
   --generation N      the generation that the document states
   --service ID        the service
   --timeout SECONDS   how long to wait (10)
+  --version N         the version of the configuration
 ";
 
 /// How often the processes are asked.
@@ -30,8 +33,7 @@
 /// Waits for a generation.
 pub async fn run(mut arguments: Arguments) -> Result<(), Fault> {
   let apis: Vec<SocketAddr> = arguments.values_from_str("--api").map_err(invalid)?;
-  let service: id::Service = arguments.value_from_str("--service").map_err(invalid)?;
-  let generation: u64 = arguments.value_from_str("--generation").map_err(invalid)?;
+  let wanted = Wanted::take(&mut arguments)?;
   let timeout: Option<u64> = arguments.opt_value_from_str("--timeout").map_err(invalid)?;
   finish(arguments)?;
   if apis.is_empty() {
@@ -45,13 +47,13 @@
   loop {
     let mut lags = Vec::new();
     for api in &apis {
-      if let Some(why) = lag(*api, service, generation).await {
+      if let Some(why) = wanted.lag(*api).await {
         lags.push(format!("{api}: {why}"));
       }
     }
     if lags.is_empty() {
       let took = begun.elapsed().as_millis();
-      println!("generation {generation} of service {service} is in force after {took} ms");
+      println!("{wanted} is in force after {took} ms");
       return Ok(());
     }
     if begun.elapsed() >= limit {
@@ -61,6 +63,57 @@
   }
 }
 
+/// What is to be in force.
+enum Wanted {
+  Generation(id::Service, u64),
+  Version(u64),
+}
+
+impl Wanted {
+  fn take(arguments: &mut Arguments) -> Result<Self, Fault> {
+    if let Some(version) = arguments.opt_value_from_str("--version").map_err(invalid)? {
+      return Ok(Self::Version(version));
+    }
+    let service = arguments.value_from_str("--service").map_err(invalid)?;
+    let generation = arguments.value_from_str("--generation").map_err(invalid)?;
+    Ok(Self::Generation(service, generation))
+  }
+
+  /// Why a process does not have it in force; none where it has.
+  async fn lag(&self, api: SocketAddr) -> Option<String> {
+    match self {
+      Self::Generation(service, generation) => lag(api, *service, *generation).await,
+      Self::Version(version) => lag_of_version(api, *version).await,
+    }
+  }
+}
+
+impl Display for Wanted {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    match self {
+      Self::Generation(service, generation) => {
+        write!(f, "generation {generation} of service {service}")
+      }
+      Self::Version(version) => write!(f, "version {version}"),
+    }
+  }
+}
+
+/// Why a process does not have a version in force; none where it has.
+async fn lag_of_version(api: SocketAddr, version: u64) -> Option<String> {
+  let state = match ask(api, "/v1/state").await {
+    Ok(state) => state,
+    Err(fault) => return Some(fault.to_string()),
+  };
+  let spread = &state["spread"];
+  let Some(held) = spread["version"].as_u64() else {
+    return Some("found no version: it carries no datagram services".into());
+  };
+  let age = spread["confirmed_ms"].as_u64();
+  let age = age.map_or("never".into(), |ms| format!("{ms} ms ago"));
+  (held < version).then(|| format!("found version {held}, last word of the platform {age}"))
+}
+
 /// Why a process does not have the generation in force; none when it has.
 async fn lag(api: SocketAddr, service: id::Service, generation: u64) -> Option<String> {
   let resource = match ask(api, &format!("/v1/services/{service}")).await {
--- a/src/datagram/node.rs
+++ b/src/datagram/node.rs
@@ -3,6 +3,7 @@
 
 mod carrier;
 mod control;
+mod resource;
 mod run;
 mod shared;
 mod source;
--- a/src/datagram/node/control.rs
+++ b/src/datagram/node/control.rs
@@ -1,5 +1,6 @@
 use {
   super::{
+    resource,
     shared::{Message, Question, Shared},
     source::Source,
   },
@@ -13,6 +14,7 @@
   http::{Method, Request, Response, StatusCode},
   http_body_util::Full,
   hyper::body::Incoming,
+  serde_json::json,
   std::{
     net::SocketAddrV4,
     sync::Arc,
@@ -41,6 +43,10 @@
 /// The path of the counts and times.
 const METRICS: &str = "/metrics";
 
+/// The path of all services, and what that of one begins with.
+const SERVICES: &str = "/v1/services";
+const SERVICE: &str = "/v1/services/";
+
 /// The path of the state.
 const STATE: &str = "/v1/state";
 
@@ -163,8 +169,13 @@
   }
   match request.uri().path() {
     METRICS => web::answer(StatusCode::OK, shared.counter.text()),
+    SERVICES => web::answer(
+      StatusCode::OK,
+      resource::services(&shared.catalog()).to_string(),
+    ),
     NEWS => tell_news(request.uri().query(), &shared),
     STATE => dump(&shared).await,
+    path if path.starts_with(SERVICE) => show_service(&path[SERVICE.len()..], &shared),
     path if path == readiness && shared.is_ready() => web::answer(StatusCode::OK, ""),
     path if path == readiness => web::answer(StatusCode::SERVICE_UNAVAILABLE, ""),
     _ => web::answer(StatusCode::NOT_FOUND, ""),
@@ -181,6 +192,17 @@
   }
 }
 
+fn show_service(name: &str, shared: &Shared) -> Response<Full<Bytes>> {
+  match resource::service(&shared.catalog(), name) {
+    Some(service) => web::answer(StatusCode::OK, service.to_string()),
+    None => {
+      let detail = format!("found no service `{name}`");
+      let body = json!({ "code": Code::ArgumentInvalid.number(), "detail": detail });
+      web::answer(StatusCode::NOT_FOUND, body.to_string())
+    }
+  }
+}
+
 fn tell_news(query: Option<&str>, shared: &Shared) -> Response<Full<Bytes>> {
   let after = web::parameter(query, "after");
   let Some(after) = after.and_then(|after| after.parse().ok()) else {
--- /dev/null
+++ b/src/datagram/node/resource.rs
@@ -0,0 +1,63 @@
+use {
+  crate::{
+    config::Presence,
+    datagram::{Catalog, Entry, Service},
+  },
+  serde_json::{Value, json},
+  std::collections::BTreeSet,
+};
+
+/// The services that a process has in force, as the resource API shows them.
+pub fn services(catalog: &Catalog) -> Value {
+  let routed = catalog.configuration().into_iter();
+  let routed = routed.flat_map(|held| held.routes.values());
+  let routed = routed.map(|route| &route.service);
+  let listed = catalog.entries().map(|(_, entry)| &entry.target.service);
+  let names = routed.chain(listed).collect::<BTreeSet<_>>();
+  let shown = names.into_iter().map(|name| resource(catalog, name));
+  Value::Array(shown.collect())
+}
+
+/// One of them; none where no route leads to it and no target serves it.
+pub fn service(catalog: &Catalog, name: &str) -> Option<Value> {
+  let services = services(catalog);
+  let services = services.as_array()?.iter();
+  let mut named = services.filter(|service| service["document"]["name"] == name);
+  named.next().cloned()
+}
+
+fn resource(catalog: &Catalog, name: &Service) -> Value {
+  let entries = catalog.entries();
+  let entries = entries.filter(|(_, entry)| entry.target.service == *name);
+  let listed = entries.filter(|(_, entry)| entry.gone.is_none());
+  let listed = listed.collect::<Vec<_>>();
+  let leaving = listed.iter().filter(|(_, entry)| is_leaving(entry)).count();
+  let targets = listed.iter().map(|(id, entry)| {
+    json!({
+      "address": entry.target.address,
+      "data_centre": entry.target.data_centre,
+      "id": id.to_string(),
+      "leaving": is_leaving(entry),
+      "slots": entry.target.slots,
+    })
+  });
+  let configuration = catalog.configuration();
+  let routes = configuration.into_iter().flat_map(|held| &held.routes);
+  let routes = routes.filter(|(_, route)| route.service == *name);
+  let routes = routes.map(|(address, _)| address.to_string());
+  let routes = routes.collect::<Vec<_>>();
+  json!({
+    "conditions": {
+      "accepted": { "status": configuration.is_some() },
+      "draining": { "status": leaving > 0, "targets": leaving },
+      "in_force": { "status": !routes.is_empty() },
+    },
+    "document": { "name": name, "routes": routes, "targets": targets.collect::<Vec<_>>() },
+    "generation": catalog.version(),
+    "revision": catalog.complete(),
+  })
+}
+
+fn is_leaving(entry: &Entry) -> bool {
+  entry.target.presence == Presence::Leaving
+}
