--- a/src/datagram/agent/answers.rs
+++ b/src/datagram/agent/answers.rs
@@ -14,7 +14,7 @@
 
 impl<C: Codec> Machine<C> {
   /// A packet came from the upstream.
-  pub(super) fn packet(
+  pub(super) fn take_packet(
     &mut self,
     now: Instant,
     packet: &mut [u8],
--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -169,10 +169,9 @@
       return if forgetful { Holds::Unknown } else { Holds::No };
     };
     match entry.state {
-      State::Absent => Holds::No,
       State::Open => Holds::Yes,
       State::Opening(sequence) if is_answered(sequence, acknowledges) => Holds::Yes,
-      State::Opening(_) => Holds::No,
+      State::Absent | State::Opening(_) => Holds::No,
       State::Tested { .. } => {
         entry.balancer = Some(asker);
         Holds::Tested
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -8,10 +8,9 @@
     config::Presence,
     counter::Counter,
     datagram::{
-      Change, Codec, Event, Flow, Frame, Handover, Head, Load, Origin, Outbox, Settings, Spread,
+      Change, Codec, Flow, Frame, Handover, Head, Load, News, Origin, Outbox, Settings, Spread,
       Tuning, Upstream, Version, event,
-      frame::{Purpose, Role, Status},
-      target,
+      frame::{Purpose, Role},
     },
   },
   serde_json::json,
@@ -59,13 +58,9 @@
   /// What the run before had, as balancers tell it.
   pub(super) handed: Handover,
   pub(super) leaving: bool,
-  /// The run that was listed at the upstream's address when the platform was first heard of after
-  /// this process had started; none before that.
-  pub(super) listed_first: Option<Option<target::Id>>,
   pub(super) port: u16,
   pub(super) reported: (Instant, Load),
   pub(super) slots: u16,
-  pub(super) started: Instant,
   /// Whether the process is about to stop.
   pub(super) stopping: bool,
   pub(super) spread: Spread,
@@ -101,11 +96,9 @@
       forgetful_until: now + forgetful,
       handed: Handover::default(),
       leaving: false,
-      listed_first: None,
       port: settings.callers.port(),
       reported: (now, Load::default()),
       slots: 1,
-      started: now,
       stopping: false,
       spread,
       tests: VecDeque::new(),
@@ -115,7 +108,7 @@
     }
   }
 
-  pub(super) fn frame(
+  pub(super) fn take_frame(
     &mut self,
     now: Instant,
     from: SocketAddrV4,
@@ -151,18 +144,22 @@
         Ok(())
       }
       Frame::News(news) => {
-        let change = self.spread.news(now, Origin::Peer(from), news, out);
-        self.changed(now, &change);
+        self.take_news(now, Origin::Peer(from), news, out);
         Ok(())
       }
       Frame::Status(status) => {
-        self.status(now, from, &status);
+        self.spread.status(now, from, &status);
         Ok(())
       }
       _ => Err(Code::FrameWrongTarget),
     }
   }
 
+  pub(super) fn take_news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) {
+    let change = self.spread.news(now, origin, news, out);
+    self.changed(&change);
+  }
+
   /// A balancer says which flows this agent had before it started again.
   pub(super) fn reminded(
     &mut self,
@@ -183,7 +180,7 @@
   }
 
   /// Hands the flows to balancers, for the next run, and takes no new ones.
-  pub(super) fn stop(&mut self, now: Instant, out: &mut Outbox) {
+  pub(super) fn hand_over(&mut self, now: Instant, out: &mut Outbox) {
     self.spread.stop(now);
     self.leaving = true;
     self.stopping = true;
@@ -198,39 +195,7 @@
     }
   }
 
-  pub(super) fn status(&mut self, now: Instant, from: SocketAddrV4, status: &Status) {
-    self.spread.status(now, from, status);
-    self.check_age(now);
-  }
-
-  /// Whether all flows are known because the upstream is younger than this process: no balancer
-  /// can have placed a flow there before it was listed. A run that had lapsed and is listed again
-  /// is no longer warming.
-  fn check_age(&mut self, now: Instant) {
-    if now >= self.forgetful_until {
-      return;
-    }
-    let listed = self.spread.catalog().at(self.upstream.address);
-    let listed = listed.filter(|(_, entry)| entry.gone.is_none());
-    let Some(first) = &self.listed_first else {
-      let since_start = now.saturating_duration_since(self.started);
-      let confirmed = self.spread.confirmed(now);
-      if confirmed.is_some_and(|age| age <= since_start) {
-        self.listed_first = Some(listed.map(|(id, _)| id.clone()));
-      }
-      return;
-    };
-    let Some((id, entry)) = listed else {
-      return;
-    };
-    if entry.target.warming && first.as_ref() != Some(id) {
-      log::info!(target:% = id; "agent: upstream is younger than this process, all flows are known.");
-      self.forgetful_until = now;
-    }
-  }
-
-  pub(super) fn changed(&mut self, now: Instant, change: &Change) {
-    self.check_age(now);
+  pub(super) fn changed(&mut self, change: &Change) {
     if change.is_empty() {
       return;
     }
@@ -252,7 +217,7 @@
     self.work.load(now, self.flows.len())
   }
 
-  pub(super) fn tick(&mut self, now: Instant, out: &mut Outbox) {
+  pub(super) fn look(&mut self, now: Instant, out: &mut Outbox) {
     while let Some((deadline, flow)) = self.tests.front().copied() {
       if deadline > now {
         break;
@@ -287,10 +252,7 @@
   }
 
   pub(super) fn expire(&mut self, now: Instant) {
-    let idle = self.spread.catalog().configuration();
-    let idle = idle.map_or(self.tuning.idle, |entry| {
-      entry.idle.max(Duration::from_secs(1))
-    });
+    let idle = self.spread.idle();
     let work = &mut self.work;
     self.flows.retain(|_, entry| {
       let rest = now.saturating_duration_since(entry.seen);
@@ -319,38 +281,16 @@
 }
 
 impl<C: Codec> event::Machine for Machine<C> {
-  fn step(&mut self, now: Instant, event: Event, out: &mut Outbox) {
-    let result = match event {
-      Event::Frame { from, bytes } => self.frame(now, from, bytes, out),
-      Event::News(origin, news) => {
-        let change = self.spread.news(now, origin, news, out);
-        self.changed(now, &change);
-        Ok(())
-      }
-      Event::Packet(packet) => self.packet(now, packet, out),
-      Event::Stop => {
-        self.stop(now, out);
-        Ok(())
-      }
-      Event::Tick => {
-        self.tick(now, out);
-        Ok(())
-      }
-      Event::Unreachable(peer) => {
-        self.spread.unreachable(peer);
-        Ok(())
-      }
-    };
-    if let Err(code) = result {
-      self.counter.count(code);
-    }
+  fn counter(&self) -> &Counter {
+    &self.counter
   }
 
   fn deadline(&self) -> Instant {
     let test = self.tests.front().map(|(deadline, _)| *deadline);
+    let expected = self.expected.front().map(|(deadline, _)| *deadline);
     let status = self.spread.deadline();
     let report = (self.load_changed()).then_some(self.reported.0 + self.tuning.report);
-    [test, report]
+    [expected, report, test]
       .into_iter()
       .flatten()
       .fold(status, Instant::min)
@@ -369,7 +309,33 @@
     })
   }
 
+  fn frame(
+    &mut self,
+    now: Instant,
+    from: SocketAddrV4,
+    bytes: &[u8],
+    out: &mut Outbox,
+  ) -> Result<(), Code> {
+    self.take_frame(now, from, bytes, out)
+  }
+
+  fn news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) {
+    self.take_news(now, origin, news, out);
+  }
+
+  fn packet(&mut self, now: Instant, packet: &mut [u8], out: &mut Outbox) -> Result<(), Code> {
+    self.take_packet(now, packet, out)
+  }
+
   fn spread(&mut self) -> &mut Spread {
     &mut self.spread
   }
+
+  fn stop(&mut self, now: Instant, out: &mut Outbox) {
+    self.hand_over(now, out);
+  }
+
+  fn tick(&mut self, now: Instant, out: &mut Outbox) {
+    self.look(now, out);
+  }
 }
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -11,8 +11,8 @@
     Code,
     counter::Counter,
     datagram::{
-      Codec, Event, Flow, Frame, Handover, Head, Outbox, Service, Settings, Spread, Tuning, Via,
-      event,
+      Codec, Flow, Frame, Handover, Head, News, Origin, Outbox, Service, Settings, Spread, Tuning,
+      Via, event,
       frame::{Purpose, Role, Status},
     },
   },
@@ -98,13 +98,13 @@
         now,
         settings.data_centre.clone(),
         settings.peers.port(),
-        tuning,
+        &tuning,
       ),
       tuning,
     }
   }
 
-  pub(super) fn packet(
+  pub(super) fn take_packet(
     &mut self,
     now: Instant,
     packet: &[u8],
@@ -185,7 +185,7 @@
     out.frame(agent, &frame, packet);
   }
 
-  pub(super) fn frame(
+  pub(super) fn take_frame(
     &mut self,
     now: Instant,
     from: SocketAddrV4,
@@ -203,10 +203,7 @@
         *at = now;
         handed.take(part, parts, flows);
       }
-      Frame::News(news) => {
-        let change = self.spread.news(now, event::Origin::Peer(from), news, out);
-        self.changed(&change);
-      }
+      Frame::News(news) => self.take_news(now, Origin::Peer(from), news, out),
       Frame::Opened(flow, load) => self.opened(now, from, flow, load),
       Frame::Refused(flow, refusal, load) => {
         self.refused(now, from, flow, refusal, load, out);
@@ -263,6 +260,11 @@
     }
   }
 
+  pub(super) fn take_news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) {
+    let change = self.spread.news(now, origin, news, out);
+    self.changed(&change);
+  }
+
   pub(super) fn changed(&mut self, change: &crate::datagram::Change) {
     if !change.is_empty() {
       self.targets.update(self.spread.catalog());
@@ -284,7 +286,7 @@
     }
   }
 
-  pub(super) fn tick(&mut self, now: Instant, out: &mut Outbox) {
+  pub(super) fn look(&mut self, now: Instant, out: &mut Outbox) {
     while let Some((deadline, flow)) = self.openings.first().copied() {
       if deadline > now {
         break;
@@ -313,10 +315,7 @@
   }
 
   pub(super) fn expire(&mut self, now: Instant) {
-    let idle = self.spread.catalog().configuration();
-    let idle = idle.map_or(self.tuning.idle, |held| {
-      held.idle.max(Duration::from_secs(1))
-    });
+    let idle = self.spread.idle();
     let dead = self.tuning.dead;
     self.flows.retain(|_, place| {
       let kept = if matches!(place.state, State::Dead) {
@@ -337,31 +336,8 @@
 }
 
 impl<C: Codec> event::Machine for Machine<C> {
-  fn step(&mut self, now: Instant, event: Event, out: &mut Outbox) {
-    let result = match event {
-      Event::Frame { from, bytes } => self.frame(now, from, bytes, out),
-      Event::News(origin, news) => {
-        let change = self.spread.news(now, origin, news, out);
-        self.changed(&change);
-        Ok(())
-      }
-      Event::Packet(packet) => self.packet(now, packet, out),
-      Event::Stop => {
-        self.spread.stop(now);
-        Ok(())
-      }
-      Event::Tick => {
-        self.tick(now, out);
-        Ok(())
-      }
-      Event::Unreachable(peer) => {
-        self.spread.unreachable(peer);
-        Ok(())
-      }
-    };
-    if let Err(code) = result {
-      self.counter.count(code);
-    }
+  fn counter(&self) -> &Counter {
+    &self.counter
   }
 
   fn deadline(&self) -> Instant {
@@ -385,7 +361,33 @@
     })
   }
 
+  fn frame(
+    &mut self,
+    now: Instant,
+    from: SocketAddrV4,
+    bytes: &[u8],
+    out: &mut Outbox,
+  ) -> Result<(), Code> {
+    self.take_frame(now, from, bytes, out)
+  }
+
+  fn news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) {
+    self.take_news(now, origin, news, out);
+  }
+
+  fn packet(&mut self, now: Instant, packet: &mut [u8], out: &mut Outbox) -> Result<(), Code> {
+    self.take_packet(now, packet, out)
+  }
+
   fn spread(&mut self) -> &mut Spread {
     &mut self.spread
   }
+
+  fn stop(&mut self, now: Instant, _: &mut Outbox) {
+    self.spread.stop(now);
+  }
+
+  fn tick(&mut self, now: Instant, out: &mut Outbox) {
+    self.look(now, out);
+  }
 }
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -125,7 +125,7 @@
 
 impl Targets {
   /// No targets; `data_centre` is the balancer's own, `port` the one that agents listen at.
-  pub fn new(now: Instant, data_centre: String, port: u16, tuning: Tuning) -> Self {
+  pub fn new(now: Instant, data_centre: String, port: u16, tuning: &Tuning) -> Self {
     Self {
       by_agent: BTreeMap::new(),
       data_centre,
@@ -133,7 +133,7 @@
       port,
       services: BTreeMap::new(),
       started: now,
-      tuning,
+      tuning: *tuning,
     }
   }
 
--- a/src/datagram/event.rs
+++ b/src/datagram/event.rs
@@ -1,5 +1,6 @@
 use {
-  super::News,
+  super::{News, Outbox, Spread},
+  crate::{Code, counter::Counter},
   std::{net::SocketAddrV4, time::Instant},
 };
 
@@ -36,8 +37,35 @@
 
 /// Decides; it has no clock, socket or thread.
 pub trait Machine {
-  /// Takes an event and puts what is to be sent into `out`.
-  fn step(&mut self, now: Instant, event: Event, out: &mut super::Outbox);
+  /// Takes an event and puts what is to be sent into `out`. What cannot be taken is counted.
+  fn step(&mut self, now: Instant, event: Event, out: &mut Outbox) {
+    let taken = match event {
+      Event::Frame { from, bytes } => self.frame(now, from, bytes, out),
+      Event::News(origin, news) => {
+        self.news(now, origin, news, out);
+        Ok(())
+      }
+      Event::Packet(packet) => self.packet(now, packet, out),
+      Event::Stop => {
+        self.stop(now, out);
+        Ok(())
+      }
+      Event::Tick => {
+        self.tick(now, out);
+        Ok(())
+      }
+      Event::Unreachable(peer) => {
+        self.spread().unreachable(peer);
+        Ok(())
+      }
+    };
+    if let Err(code) = taken {
+      self.counter().count(code);
+    }
+  }
+
+  /// Where it counts.
+  fn counter(&self) -> &Counter;
 
   /// When the machine wants to be told of the time next.
   fn deadline(&self) -> Instant;
@@ -45,11 +73,32 @@
   /// What it knows and remembers, for an operator.
   fn dump(&self, now: Instant) -> serde_json::Value;
 
+  /// A frame came from another process.
+  fn frame(
+    &mut self,
+    now: Instant,
+    from: SocketAddrV4,
+    bytes: &[u8],
+    out: &mut Outbox,
+  ) -> Result<(), Code>;
+
+  /// News came.
+  fn news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox);
+
+  /// A packet came: a caller's at a balancer, the upstream's at an agent.
+  fn packet(&mut self, now: Instant, packet: &mut [u8], out: &mut Outbox) -> Result<(), Code>;
+
   /// Takes other seeds, as new settings name them.
   fn reseed(&mut self, now: Instant, seeds: &[SocketAddrV4]) {
     self.spread().reseed(now, seeds);
   }
 
   /// What it shares with the other role: the list, the peers and what is to be read.
-  fn spread(&mut self) -> &mut super::Spread;
+  fn spread(&mut self) -> &mut Spread;
+
+  /// The process is to stop as planned.
+  fn stop(&mut self, now: Instant, out: &mut Outbox);
+
+  /// A deadline may have passed.
+  fn tick(&mut self, now: Instant, out: &mut Outbox);
 }
--- a/src/datagram/head.rs
+++ b/src/datagram/head.rs
@@ -12,10 +12,8 @@
   pub ends: bool,
   /// The flow, whichever way the packet goes.
   pub flow: Flow,
-  /// Whether it opens a flow; with `has_acknowledgement` it answers an opening packet.
+  /// Whether it opens a flow; an upstream's answers a caller's.
   pub opens: bool,
-  /// Whether `acknowledges` counts.
-  pub has_acknowledgement: bool,
   /// Whether the sender breaks the flow off.
   pub resets: bool,
   /// Whether an upstream that does not hold the flow sent the packet back.
--- a/src/datagram/node/control.rs
+++ b/src/datagram/node/control.rs
@@ -193,14 +193,12 @@
 }
 
 fn show_service(name: &str, shared: &Shared) -> Response<Full<Bytes>> {
-  match resource::service(&shared.catalog(), name) {
-    Some(service) => web::answer(StatusCode::OK, service.to_string()),
-    None => {
-      let detail = format!("found no service `{name}`");
-      let body = json!({ "code": Code::ArgumentInvalid.number(), "detail": detail });
-      web::answer(StatusCode::NOT_FOUND, body.to_string())
-    }
+  if let Some(service) = resource::service(&shared.catalog(), name) {
+    return web::answer(StatusCode::OK, service.to_string());
   }
+  let detail = format!("found no service `{name}`");
+  let body = json!({ "code": Code::ArgumentInvalid.number(), "detail": detail });
+  web::answer(StatusCode::NOT_FOUND, body.to_string())
 }
 
 fn tell_news(query: Option<&str>, shared: &Shared) -> Response<Full<Bytes>> {
--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -28,6 +28,9 @@
 /// tell agents only every two seconds.
 const LOST: Duration = Duration::from_secs(5);
 
+/// The least rest after which a flow is forgotten, whatever the configuration says.
+const IDLE_LEAST: Duration = Duration::from_secs(1);
+
 /// How long a question to a peer may take before another is asked.
 const PULL: Duration = Duration::from_millis(500);
 
@@ -172,6 +175,12 @@
     }
   }
 
+  /// After how much rest a flow may be forgotten.
+  pub fn idle(&self) -> Duration {
+    let configuration = self.catalog.configuration();
+    configuration.map_or(self.tuning.idle, |held| held.idle.max(IDLE_LEAST))
+  }
+
   /// Whether this process is to read from the platform: the first few balancers by a hash that
   /// all share, and each one that nobody's fresh word reaches.
   pub fn is_reader(&self, now: Instant) -> bool {
--- a/src/datagram/target.rs
+++ b/src/datagram/target.rs
@@ -56,6 +56,4 @@
   pub service: Service,
   /// How many requests it works on at once.
   pub slots: u16,
-  /// Whether it started so lately that it is still slow.
-  pub warming: bool,
 }
