--- a/src/datagram/agent/answers.rs
+++ b/src/datagram/agent/answers.rs
@@ -71,7 +71,7 @@
         let time = now.saturating_duration_since(whole);
         self.work.answered(now, time, entry.ahead, self.slots);
       } else {
-        self.work.failed(now);
+        self.work.ended();
       }
     }
   }
--- a/src/datagram/agent/work.rs
+++ b/src/datagram/agent/work.rs
@@ -16,8 +16,6 @@
 #[derive(Debug, Default)]
 pub struct Work {
   bytes: f64,
-  /// The share of requests that ended without an answer.
-  failing: f64,
   samples: u32,
   /// When the last request was answered.
   measured: Option<Instant>,
@@ -38,30 +36,17 @@
     self.under_way = self.under_way.saturating_sub(1);
   }
 
-  /// A request has ended: the upstream broke its flow off without an answer.
-  pub fn failed(&mut self, now: Instant) {
-    self.measure(now, 1.0);
-    self.ended();
-  }
-
   /// A request was answered after `time`, when `ahead` others were there before it.
   pub fn answered(&mut self, now: Instant, time: Duration, ahead: u16, slots: u16) {
-    let weight = self.measure(now, 0.0);
+    self.forget(now);
+    self.measured = Some(now);
     let slots = f64::from(slots);
     let queue = (f64::from(ahead) + 1.0 - slots).max(0.0);
     let ms = time.as_secs_f64() * 1000.0 / (1.0 + queue / slots);
-    self.service_ms += weight * (ms - self.service_ms);
-    self.ended();
-  }
-
-  /// Takes another request into the means; returns the weight that it has there.
-  fn measure(&mut self, now: Instant, failed: f64) -> f64 {
-    self.forget(now);
-    self.measured = Some(now);
     self.samples = self.samples.saturating_add(1);
     let weight = NEWEST.max(1.0 / f64::from(self.samples));
-    self.failing += weight * (failed - self.failing);
-    weight
+    self.service_ms += weight * (ms - self.service_ms);
+    self.ended();
   }
 
   /// The time until a request more would be answered, in milliseconds.
@@ -74,7 +59,6 @@
   pub fn forget(&mut self, now: Instant) {
     let old = |at: Instant| now.saturating_duration_since(at) >= MEASURED;
     if self.measured.is_some_and(old) {
-      self.failing = 0.0;
       self.measured = None;
       self.samples = 0;
       self.service_ms = 0.0;
@@ -109,7 +93,6 @@
     Load {
       bytes: whole(self.bytes) as u32,
       down,
-      failing: whole(self.failing * 100.0) as u8,
       flows: flows.min(usize::from(u16::MAX)) as u16,
       service_ms: whole(self.service_ms) as u16,
       work: self.under_way,
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -107,13 +107,6 @@
 /// What a new flow would rather wait than go there, in milliseconds.
 const HASTY_MS: f64 = 150.0;
 
-/// From which share of broken requests on a target is taken for a failing one, in percent: a few
-/// flows end between two requests wherever targets are well.
-const FAILING_LEAST: u8 = 20;
-
-/// What a new flow would rather wait than go there, in milliseconds for each percent.
-const FAILING_MS: f64 = 4.0;
-
 /// How many targets have to be known for one to be told from the others.
 const TYPICAL_OF: usize = 3;
 
@@ -392,9 +385,6 @@
     if service_ms > 0.0 && service_ms < typical_ms * HASTY_PART {
       cost += HASTY_MS;
     }
-    if seen.load.failing >= FAILING_LEAST {
-      cost += FAILING_MS * f64::from(seen.load.failing);
-    }
     if seen.data_centre != self.data_centre {
       let (always, by_kilobyte) = self.tuning.crossing;
       cost += always + by_kilobyte * f64::from(seen.load.bytes) / 1024.0;
--- a/src/datagram/load.rs
+++ b/src/datagram/load.rs
@@ -7,8 +7,6 @@
   pub bytes: u32,
   /// Whether the upstream does not answer at all.
   pub down: bool,
-  /// The share of requests that the upstream broke off without an answer, in percent.
-  pub failing: u8,
   /// Flows that are open.
   pub flows: u16,
   /// The time that the upstream takes for a request that did not wait, in milliseconds.
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -405,26 +405,3 @@
   let sent = agent.packet(answer(flow(40_002, 1), 500));
   assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(_, load), _) if load.work == 1);
 }
-
-#[test]
-fn requests_that_the_upstream_breaks_off_are_told() {
-  let mut agent = Stepped::agent(9, "a", true);
-  let mut failing = 0;
-  for port in 1..=40 {
-    let flow = flow(port, 1);
-    deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
-    let sent = agent.packet(answer(flow, 100));
-    if let Sent::Frame(_, Frame::Opened(_, load), _) = &sent[0] {
-      failing = load.failing;
-    }
-    deliver(&mut agent, Purpose::Deliver, Packet::data(flow, 2, 101));
-    agent.now += Duration::from_millis(10);
-    let mut answer = Packet::data(flow, 101, 2);
-    if port % 2 == 0 {
-      answer.kind = Kind::Reset;
-      answer.data = 0;
-    }
-    agent.packet(answer);
-  }
-  assert!((40..60).contains(&failing), "failing {failing}");
-}
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -732,28 +732,6 @@
   assert_eq!(carried(&sent), [(14, Purpose::Open)]);
 }
 
-#[test]
-fn a_target_that_breaks_requests_off_gets_fewer_flows() {
-  let mut balancer = balancer();
-  let failing = |failing| Load {
-    failing,
-    ..Load::default()
-  };
-  tell(&mut balancer, 11, 1, failing(45));
-  tell(&mut balancer, 12, 1, busy(6));
-  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
-  assert_eq!(carried(&sent), [(12, Purpose::Open)]);
-  // Where the other has too much to do, it is better than none.
-  tell(&mut balancer, 12, 1, busy(40));
-  let sent = balancer.packet(Packet::open(flow(2, 1), 0));
-  assert_eq!(carried(&sent), [(11, Purpose::Open)]);
-  // A few are broken off everywhere.
-  tell(&mut balancer, 11, 1, failing(10));
-  tell(&mut balancer, 12, 1, busy(1));
-  let sent = balancer.packet(Packet::open(flow(3, 1), 0));
-  assert_eq!(carried(&sent), [(11, Purpose::Open)]);
-}
-
 #[test]
 fn a_search_copies_no_packet_and_holds_a_bounded_number() {
   let mut balancer = balancer();
