Reset no flow that another balancer may have had opened while this one stood still

Cause, found by reading: a balancer that stood still, or whose refusals came late, took the first copy of an opening packet for the only one and reset the flow, though a later copy may have opened it elsewhere. Ruled out: resets after a search (all must have said no), parked flows (the copies are counted). Change: a flow that is older than half a caller's gap is reset only if all copies came here; a process that met a deadline 150 ms late counts as having stood still, and resets no flow that is being opened for as long as a caller tries. Two tests that failed first.

--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -34,6 +34,10 @@
 /// How old the platform's last word may be for a route that is not known to count as dropped.
 const ROUTE_FRESH: Duration = Duration::from_millis(2500);
 
+/// After so much delay of a deadline the process counts as having stood still: what has arrived
+/// goes before a deadline by 50 ms at most.
+const STILL: Duration = Duration::from_millis(150);
+
 /// How many flows one frame names.
 const HELD_MAX: usize = 64;
 
@@ -65,6 +69,8 @@
   pub(super) spread: Spread,
   pub(super) targets: Targets,
   pub(super) tuning: Tuning,
+  /// Until when opening packets may be older than they seem: the process stood still.
+  pub(super) unsure_until: Instant,
 }
 
 impl<C: Codec> Machine<C> {
@@ -101,7 +107,21 @@
         &tuning,
       ),
       tuning,
+      unsure_until: now,
+    }
+  }
+
+  /// Notices that the process stood still: what waits in its sockets may be from before that, and
+  /// a caller's next copies may have gone to other balancers meanwhile.
+  fn wake(&mut self, now: Instant) {
+    let late = now.saturating_duration_since(self.next_deadline());
+    if late < STILL {
+      return;
+    }
+    if now >= self.unsure_until {
+      log::info!(late:? = late; "balancer: process stood still.");
     }
+    self.unsure_until = now + C::PATIENCE;
   }
 
   pub(super) fn take_packet(
@@ -110,6 +130,7 @@
     packet: &[u8],
     out: &mut Outbox,
   ) -> Result<(), Code> {
+    self.wake(now);
     let head = self.codec.read_from_caller(packet)?;
     let Some(service) = self.spread.catalog().service(&head.flow.route).cloned() else {
       return self.without_route(now, &head, out);
@@ -192,6 +213,7 @@
     bytes: &[u8],
     out: &mut Outbox,
   ) -> Result<(), Code> {
+    self.wake(now);
     let (frame, packet) = Frame::decode(bytes)?;
     match frame {
       Frame::Absent { flows, known } => self.absent(now, from, &flows, &known, packet, out),
@@ -274,6 +296,17 @@
     }
   }
 
+  fn next_deadline(&self) -> Instant {
+    let opening = self.openings.first().map(|(deadline, _)| *deadline);
+    let search = self.searching.first().map(|(deadline, _)| *deadline);
+    let status = self.spread.deadline();
+    let parked = self.parking.deadline();
+    [opening, parked, search, self.questions.deadline()]
+      .into_iter()
+      .flatten()
+      .fold(status, Instant::min)
+  }
+
   fn rank_routes(&mut self) {
     self.lowest.clear();
     let configuration = self.spread.catalog().configuration();
@@ -287,6 +320,7 @@
   }
 
   pub(super) fn look(&mut self, now: Instant, out: &mut Outbox) {
+    self.wake(now);
     while let Some((deadline, flow)) = self.openings.first().copied() {
       if deadline > now {
         break;
@@ -341,14 +375,7 @@
   }
 
   fn deadline(&self) -> Instant {
-    let opening = self.openings.first().map(|(deadline, _)| *deadline);
-    let search = self.searching.first().map(|(deadline, _)| *deadline);
-    let status = self.spread.deadline();
-    let parked = self.parking.deadline();
-    [opening, parked, search, self.questions.deadline()]
-      .into_iter()
-      .flatten()
-      .fold(status, Instant::min)
+    self.next_deadline()
   }
 
   fn dump(&self, now: Instant) -> serde_json::Value {
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -14,11 +14,11 @@
       frame::{Purpose, Refusal},
     },
   },
-  smallvec::SmallVec,
   std::{net::SocketAddrV4, time::Instant},
 };
 
 impl<C: Codec> Machine<C> {
+  /// An opening packet came.
   pub(super) fn open(
     &mut self,
     now: Instant,
@@ -27,46 +27,31 @@
     packet: &[u8],
     out: &mut Outbox,
   ) -> Result<(), Code> {
-    let mut opening = Opening {
-      began: now,
-      copy: head.acknowledges,
-      deadline: now,
-      may_be_open: head.acknowledges > 0,
-      packet: SmallVec::from_slice(packet),
-      sent: now,
-      tried: Tried::new(),
-    };
+    let mut opening = Opening::new(now, head, packet);
+    opening.may_be_open |= now < self.unsure_until;
     self.end_search(&head.flow);
-    match self.flows.get_mut(&head.flow) {
-      Some(place) if matches!(place.state, State::Open) => {
-        // The answer of its target was lost on the way, or is.
-        place.seen = now;
-        let agent = place.agent;
-        self.carry(agent, Purpose::Open, service, packet, out);
-        return Ok(());
-      }
-      Some(Place {
-        agent,
-        state: State::Opening(before),
-        ..
-      }) => {
-        if now < before.deadline {
+    if let Some(place) = self.flows.get_mut(&head.flow) {
+      let agent = place.agent;
+      match &mut place.state {
+        State::Dead => {}
+        State::Open => {
+          // The answer of its target was lost on the way, or is.
+          place.seen = now;
+          self.carry(agent, Purpose::Open, service, packet, out);
+          return Ok(());
+        }
+        State::Opening(before) if now < before.deadline => {
           // Whoever was asked may still answer; its answer to the caller may have been lost.
           before.may_be_open = true;
-          let agent = *agent;
           self.carry(agent, Purpose::Open, service, packet, out);
           return Ok(());
         }
-        opening.tried = std::mem::take(&mut before.tried);
-      }
-      Some(Place {
-        state: State::Parked(_, before),
-        ..
-      }) => {
-        before.take_copy(head.acknowledges, opening.packet);
-        return Ok(());
+        State::Opening(before) => opening.tried = std::mem::take(&mut before.tried),
+        State::Parked(_, before) => {
+          before.take_copy(head.acknowledges, opening.packet);
+          return Ok(());
+        }
       }
-      _ => {}
     }
     if self.flows.len() >= self.tuning.flows_max {
       return Err(Code::QueueFull);
@@ -199,31 +184,28 @@
       wait_ms:? = choice.map(|choice| choice.wait_ms),
       age_ms:? = choice.and_then(|choice| self.targets.age_ms(now, choice.agent)),
       version:% = self.spread.catalog().version(), parked = self.parking.len(service);
-      "balancer: wait is too long and flow is reset."
+      "balancer: wait is too long."
     );
-    self.give_up(&flow, &opening, out);
+    self.give_up(now, &flow, opening, out);
     Err(Code::QueueFull)
   }
 
-  /// Forgets a flow that no target was given, as far as this process knows, and tells its caller.
-  fn give_up(&mut self, flow: &Flow, opening: &Opening, out: &mut Outbox) {
+  /// Forgets a flow that no target was given, as far as this process knows, and tells its caller;
+  /// but not where a copy that did not come here may have had it opened by another balancer.
+  fn give_up(&mut self, now: Instant, flow: &Flow, opening: Opening, out: &mut Outbox) {
+    let age = now.saturating_duration_since(opening.began);
+    // Half a gap for the time that packets take.
+    let missed = opening.copy + 1 < C::COPIES && age >= C::GAP / 2;
+    let told = !opening.may_be_open && !missed;
+    log::info!(
+      flow:% = flow, age:? = age, copy = opening.copy, told = told; "balancer: flow is given up."
+    );
     self.flows.remove(flow);
-    if !opening.may_be_open {
+    if told {
       self.reset(flow, 0, out);
     }
   }
 
-  /// Forgets a flow that has been parked for too long. Its caller is told if all copies came here:
-  /// another balancer may have had the flow opened by one that did not.
-  fn give_up_parked(&mut self, flow: &Flow, mut opening: Opening, out: &mut Outbox) {
-    opening.may_be_open |= opening.copy + 1 < C::COPIES;
-    log::info!(
-      flow:% = flow, copy = opening.copy, may_be_open = opening.may_be_open;
-      "balancer: flow waited too long and is given up."
-    );
-    self.give_up(flow, &opening, out);
-  }
-
   /// Sends parked flows to targets that can take them: those of the highest priority first, and of
   /// one priority the newest, which may still be answered in time; whoever is late is so anyway.
   pub(super) fn release(&mut self, now: Instant, out: &mut Outbox) {
@@ -242,7 +224,7 @@
           break;
         };
         if self.spread.catalog().service(&flow.route) != Some(service) {
-          self.give_up_parked(&flow, opening, out);
+          self.give_up(now, &flow, opening, out);
           continue;
         }
         self.send_to(now, flow, service, opening, choice, out);
@@ -275,7 +257,7 @@
       };
       let opening = opening.clone();
       self.counter.count(Code::QueueFull);
-      self.give_up_parked(&flow, opening, out);
+      self.give_up(now, &flow, opening, out);
     }
   }
 
--- a/src/datagram/balancer/place.rs
+++ b/src/datagram/balancer/place.rs
@@ -1,4 +1,5 @@
 use {
+  crate::datagram::Head,
   smallvec::SmallVec,
   std::{net::SocketAddrV4, time::Instant},
 };
@@ -37,15 +38,6 @@
   Dead,
 }
 
-impl Opening {
-  /// Another copy came. One that is missing went to another balancer, or was lost.
-  pub fn take_copy(&mut self, copy: u32, packet: SmallVec<[u8; 40]>) {
-    self.may_be_open |= copy > self.copy + 1;
-    self.copy = self.copy.max(copy);
-    self.packet = packet;
-  }
-}
-
 /// An opening packet that no target has answered yet.
 #[derive(Clone, Debug)]
 pub struct Opening {
@@ -65,3 +57,25 @@
   /// Who was asked.
   pub tried: Tried,
 }
+
+impl Opening {
+  /// A packet that has just come, and was sent to nobody.
+  pub fn new(now: Instant, head: &Head, packet: &[u8]) -> Self {
+    Self {
+      began: now,
+      copy: head.acknowledges,
+      deadline: now,
+      may_be_open: head.acknowledges > 0,
+      packet: SmallVec::from_slice(packet),
+      sent: now,
+      tried: Tried::new(),
+    }
+  }
+
+  /// Another copy came. One that is missing went to another balancer, or was lost.
+  pub fn take_copy(&mut self, copy: u32, packet: SmallVec<[u8; 40]>) {
+    self.may_be_open |= copy > self.copy + 1;
+    self.copy = self.copy.max(copy);
+    self.packet = packet;
+  }
+}
--- a/src/datagram/codec.rs
+++ b/src/datagram/codec.rs
@@ -1,6 +1,7 @@
 use {
   super::{Flow, Head},
   crate::Code,
+  std::time::Duration,
 };
 
 /// How the packets of the flows look. The system never changes what an upstream or a caller reads.
@@ -8,6 +9,12 @@
   /// How many copies of an opening packet a caller sends, each numbered (`Head::acknowledges`).
   const COPIES: u32;
 
+  /// How long after the first copy a caller sends the second.
+  const GAP: Duration;
+
+  /// How long after the first copy a caller gives the flow up.
+  const PATIENCE: Duration;
+
   /// Reads a packet on its way to an upstream.
   fn read_from_caller(&self, packet: &[u8]) -> Result<Head, Code>;
 
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -334,6 +334,39 @@
   }
 }
 
+/// Fills the balancer with flows that wait, so that one more is told at once.
+fn fill(balancer: &mut Balancer) {
+  full(balancer);
+  for port in 1001..=1120 {
+    park(balancer, port, 0);
+  }
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  assert!(is_reset(&sent, flow(1, 1), 0), "{sent:?}");
+}
+
+#[test]
+fn a_balancer_that_stood_still_resets_no_flow_that_another_may_have_opened() {
+  let mut balancer = balancer();
+  fill(&mut balancer);
+  // Packets of before are still there to be read when it goes on.
+  balancer.now += Duration::from_millis(800);
+  let sent = balancer.packet(Packet::open(flow(2, 1), 0));
+  assert!(!is_reset(&sent, flow(2, 1), 0), "{sent:?}");
+}
+
+#[test]
+fn a_flow_that_was_refused_late_is_not_reset_where_another_balancer_may_have_opened_it() {
+  let mut balancer = balancer();
+  let sent = balancer.packet(Packet::open(flow(2, 1), 0));
+  let (first, _) = carried(&sent)[0];
+  fill(&mut balancer);
+  let refused = Frame::Refused(flow(2, 1), Refusal::Busy, busy(24));
+  // The answer takes so long that the next copy may have been sent meanwhile.
+  balancer.now += Duration::from_millis(170);
+  let sent = balancer.frame(first, &refused, &[]);
+  assert!(!is_reset(&sent, flow(2, 1), 0), "{sent:?}");
+}
+
 #[test]
 fn a_flow_that_waits_and_was_opened_elsewhere_is_searched_for() {
   let mut balancer = balancer();
--- a/tests/datagram/plain.rs
+++ b/tests/datagram/plain.rs
@@ -4,6 +4,7 @@
     datagram::{Codec, Flow, Head},
   },
   serde::{Deserialize, Serialize},
+  std::time::Duration,
 };
 
 /// A head as these tests write it, in front of the data.
@@ -89,6 +90,8 @@
 
 impl Codec for Plain {
   const COPIES: u32 = 3;
+  const GAP: Duration = Duration::from_millis(200);
+  const PATIENCE: Duration = Duration::from_millis(1400);
 
   fn read_from_caller(&self, packet: &[u8]) -> Result<Head, Code> {
     Packet::read(packet).map(|packet| packet.head())
