--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -186,13 +186,13 @@
       version:% = self.spread.catalog().version(), parked = self.parking.len(service);
       "balancer: wait is too long."
     );
-    self.give_up(now, &flow, opening, out);
+    self.give_up(now, &flow, &opening, out);
     Err(Code::QueueFull)
   }
 
   /// Forgets a flow that no target was given, as far as this process knows, and tells its caller;
   /// but not where a copy that did not come here may have had it opened by another balancer.
-  fn give_up(&mut self, now: Instant, flow: &Flow, opening: Opening, out: &mut Outbox) {
+  fn give_up(&mut self, now: Instant, flow: &Flow, opening: &Opening, out: &mut Outbox) {
     let age = now.saturating_duration_since(opening.began);
     // Half a gap for the time that packets take.
     let missed = opening.copy + 1 < C::COPIES && age >= C::GAP / 2;
@@ -224,7 +224,7 @@
           break;
         };
         if self.spread.catalog().service(&flow.route) != Some(service) {
-          self.give_up(now, &flow, opening, out);
+          self.give_up(now, &flow, &opening, out);
           continue;
         }
         self.send_to(now, flow, service, opening, choice, out);
@@ -257,7 +257,7 @@
       };
       let opening = opening.clone();
       self.counter.count(Code::QueueFull);
-      self.give_up(now, &flow, opening, out);
+      self.give_up(now, &flow, &opening, out);
     }
   }
 
