--- a/tests/datagram/random_run.rs
+++ b/tests/datagram/random_run.rs
@@ -199,9 +199,17 @@
   8_667_209_001_218_903_438,
 ];
 
+/// Seeds that fail once a guard is taken away.
+const GUARDED: [u64; 2] = [
+  // A flow that another balancer may have had opened is given up without a reset.
+  7_176_252_390_804_692_177,
+  // The same by the copies that did not come here, alone.
+  4_694_080_057_801_036_487,
+];
+
 #[test]
 fn promises_hold_under_faults() {
-  for seed in FAILED.into_iter().chain(0..96) {
+  for seed in FAILED.into_iter().chain(GUARDED).chain(0..96) {
     play(seed);
   }
 }
