Count lateness from when there was something to do

Change: both deadlines begin when something is added; nothing counts before the first tick. Two tests that failed first (the start), and with what is searched for and kept waiting after a rest.

--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -46,6 +46,8 @@
 
 /// Decides where a balancer sends the packets of callers.
 pub struct Machine<C> {
+  /// Whether it was told of the time once: what a start takes is no standstill.
+  pub(super) begun: bool,
   pub(super) codec: C,
   pub(super) counter: Arc<Counter>,
   pub(super) expired: Instant,
@@ -85,6 +87,7 @@
   ) -> Self {
     let spread = Spread::new(now, settings, true, incarnation, tuning);
     Self {
+      begun: false,
       codec,
       counter,
       expired: now,
@@ -115,7 +118,7 @@
   /// a caller's next copies may have gone to other balancers meanwhile.
   fn wake(&mut self, now: Instant) {
     let late = now.saturating_duration_since(self.next_deadline());
-    if late < STILL {
+    if late < STILL || !self.begun {
       return;
     }
     if now >= self.unsure_until {
@@ -252,7 +255,7 @@
       self.remind(from, out);
     }
     if run != Run::Known {
-      self.ask_new(from);
+      self.ask_new(now, from);
     }
   }
 
@@ -321,6 +324,7 @@
 
   pub(super) fn look(&mut self, now: Instant, out: &mut Outbox) {
     self.wake(now);
+    self.begun = true;
     while let Some((deadline, flow)) = self.openings.first().copied() {
       if deadline > now {
         break;
--- a/src/datagram/balancer/parking.rs
+++ b/src/datagram/balancer/parking.rs
@@ -61,6 +61,7 @@
 
   /// Parks a flow.
   pub fn push(&mut self, now: Instant, lane: &Lane, flow: Flow) {
+    self.next = self.next.max(now);
     let parked = self.parked.entry(lane.clone()).or_default();
     parked.push_back((now, flow));
   }
--- a/src/datagram/balancer/questions.rs
+++ b/src/datagram/balancer/questions.rs
@@ -34,7 +34,15 @@
   }
 
   /// Adds a question to an agent about a flow whose caller last acknowledged `acknowledges`.
-  pub fn add(&mut self, agent: SocketAddrV4, service: u64, flow: Flow, acknowledges: u32) {
+  pub fn add(
+    &mut self,
+    now: Instant,
+    agent: SocketAddrV4,
+    service: u64,
+    flow: Flow,
+    acknowledges: u32,
+  ) {
+    self.allowed = self.allowed.max(now);
     let flows = self.pending.entry((agent, service)).or_default();
     flows.push((flow, acknowledges));
   }
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -49,7 +49,7 @@
       };
       search.deadline = now + wait;
       self.searching.insert((search.deadline, flow));
-      self.ask(flow, head.acknowledges, &asked);
+      self.ask(now, flow, head.acknowledges, &asked);
       self.searches.insert(flow, search);
     }
     if self.held_bytes >= self.tuning.search_bytes {
@@ -124,7 +124,7 @@
     let (new, acknowledges) = (search.extend(holders), search.acknowledges);
     let known = self.spread.catalog().complete() >= search.needs;
     if !search.waiting.is_empty() || !known {
-      self.ask(flow, acknowledges, &new);
+      self.ask(now, flow, acknowledges, &new);
       return;
     }
     let asked = search.asked.len();
@@ -223,11 +223,11 @@
     }
     self.searching.insert((search.deadline, flow));
     let (waiting, acknowledges) = (search.waiting.clone(), search.acknowledges);
-    self.ask(flow, acknowledges, &waiting);
+    self.ask(now, flow, acknowledges, &waiting);
   }
 
   /// Asks an agent that has just started for all flows that its word is awaited of.
-  pub(super) fn ask_new(&mut self, agent: SocketAddrV4) {
+  pub(super) fn ask_new(&mut self, now: Instant, agent: SocketAddrV4) {
     let searches = self.searches.iter_mut();
     let awaited = searches.filter(|(_, search)| search.waiting.contains(&agent));
     let awaited = awaited.map(|(flow, search)| {
@@ -235,7 +235,7 @@
       (*flow, search.acknowledges)
     });
     for (flow, acknowledges) in awaited.collect::<BTreeMap<_, _>>() {
-      self.ask(flow, acknowledges, &[agent]);
+      self.ask(now, flow, acknowledges, &[agent]);
     }
   }
 
@@ -248,13 +248,13 @@
   }
 
   /// Puts questions to those that wait for the next tick.
-  fn ask(&mut self, flow: Flow, acknowledges: u32, agents: &[SocketAddrV4]) {
+  fn ask(&mut self, now: Instant, flow: Flow, acknowledges: u32, agents: &[SocketAddrV4]) {
     let Some(service) = self.spread.catalog().service(&flow.route) else {
       return;
     };
     let service = service.digest();
     for agent in agents {
-      self.questions.add(*agent, service, flow, acknowledges);
+      self.questions.add(now, *agent, service, flow, acknowledges);
     }
   }
 }
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -347,6 +347,7 @@
 #[test]
 fn a_balancer_that_stood_still_resets_no_flow_that_another_may_have_opened() {
   let mut balancer = balancer();
+  balancer.pass(Duration::ZERO);
   fill(&mut balancer);
   // Packets of before are still there to be read when it goes on.
   balancer.now += Duration::from_millis(800);
@@ -354,6 +355,32 @@
   assert!(!is_reset(&sent, flow(2, 1), 0), "{sent:?}");
 }
 
+#[test]
+fn a_balancer_that_has_just_started_tells_at_once() {
+  let mut balancer = Stepped::balancer(1);
+  // What a start takes is no standstill.
+  balancer.now += Duration::from_millis(400);
+  let live = Presence::Live;
+  let records = [
+    configured(1, 1, &[(1, "a")]),
+    listed(2, "up-11", 11, "a", live),
+    listed(3, "up-12", 12, "a", live),
+  ];
+  balancer.platform(news(None, 3, &records));
+  fill(&mut balancer);
+}
+
+#[test]
+fn a_balancer_that_searched_and_kept_flows_waiting_tells_at_once() {
+  let mut balancer = balancer();
+  for _ in 0..20 {
+    balancer.pass(Duration::from_millis(100));
+  }
+  // What had nothing to do for long is not late with what it is given now.
+  search(&mut balancer);
+  fill(&mut balancer);
+}
+
 #[test]
 fn a_flow_that_was_refused_late_is_not_reset_where_another_balancer_may_have_opened_it() {
   let mut balancer = balancer();
