Measure no service time before an agent knows its upstream's slots

Cause: an agent that has just started takes its upstream for one of a single slot until it hears the list. It then divides the time of a request by a queue that is not there: 53 ms became 6 ms, and the load drew all flows. Ruled out: the formula of the wait (right with 4 slots), the weight of the first sample alone.

Change: slots are unknown until the list says so, and until then a request is counted but not measured.

--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -227,7 +227,7 @@
       let load = self.load(now);
       log::info!(
         flow:% = flow, why:? = refusal, work = load.work, service_ms = load.service_ms,
-        slots = self.slots, complete:% = self.spread.catalog().complete();
+        slots = self.slots(), complete:% = self.spread.catalog().complete();
         "agent: flow is not opened."
       );
       let frame = Frame::Refused(flow, refusal, load);
@@ -244,7 +244,7 @@
       return false;
     };
     let objective_ms = route.objective.as_secs_f64() * 1000.0;
-    self.work.wait_ms(self.slots) > objective_ms * self.tuning.wait_part_first
+    self.work.wait_ms(self.slots()) > objective_ms * self.tuning.wait_part_first
   }
 
   /// What is known here of where else a flow of this service may be.
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -60,7 +60,8 @@
   pub(super) leaving: bool,
   pub(super) port: u16,
   pub(super) reported: (Instant, Load),
-  pub(super) slots: u16,
+  /// How many requests the upstream works on at once; none before the list says so.
+  pub(super) slots: Option<u16>,
   /// Whether the process is about to stop.
   pub(super) stopping: bool,
   pub(super) spread: Spread,
@@ -98,7 +99,7 @@
       leaving: false,
       port: settings.callers.port(),
       reported: (now, Load::default()),
-      slots: 1,
+      slots: None,
       stopping: false,
       spread,
       tests: VecDeque::new(),
@@ -202,7 +203,7 @@
     let Some((id, entry)) = self.spread.catalog().at(self.upstream.address) else {
       return;
     };
-    self.slots = entry.target.slots.max(1);
+    self.slots = Some(entry.target.slots.max(1));
     let leaving = entry.target.presence == Presence::Leaving
       || entry.gone.is_some()
       || entry.target.service != self.upstream.service;
@@ -217,6 +218,11 @@
     self.work.load(now, self.flows.len())
   }
 
+  /// How many requests the upstream works on at once; one where that is not known.
+  pub(super) fn slots(&self) -> u16 {
+    self.slots.unwrap_or(1)
+  }
+
   pub(super) fn look(&mut self, now: Instant, out: &mut Outbox) {
     while let Some((deadline, flow)) = self.tests.front().copied() {
       if deadline > now {
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -405,3 +405,23 @@
   let sent = agent.packet(answer(flow(40_002, 1), 500));
   assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(_, load), _) if load.work == 1);
 }
+
+#[test]
+fn a_time_is_not_measured_before_the_slots_are_known() {
+  // It has not heard the list. Three requests pass at once and take 60 ms.
+  let mut agent = Stepped::agent(9, "a", false);
+  let flows = [1, 2, 3].map(|port| flow(port, 1));
+  for flow in flows {
+    deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
+    agent.packet(answer(flow, 100));
+    deliver(&mut agent, Purpose::Deliver, Packet::data(flow, 2, 101));
+  }
+  agent.now += Duration::from_millis(60);
+  for flow in flows {
+    agent.packet(Packet::data(flow, 101, 3));
+  }
+  deliver(&mut agent, Purpose::Open, Packet::open(flow(4, 1), 0));
+  let sent = agent.packet(answer(flow(4, 1), 100));
+  // Not 20 ms, as if the third had waited behind the others.
+  assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(_, load), _) if load.service_ms == 0);
+}
