Let agents grant places to balancers where flows wait

Hypothesis: after a loss of power balancers give flows up while slots stand idle, since the loads that they know are 100 to 700 ms old and a request takes 30 to 50 ms.

Change: a balancer with flows that wait says how many, each 0.1 s and when they double or halve, to the agents of their service. An agent whose upstream has free places keeps them, one more for two slots, and says so at once to the balancer where most wait; the balancer sends a flow, or gives the place back. A place that nobody takes in 25 ms, or whose balancer is silent for 0.35 s, is granted to another. Nothing is sent where nothing waits. Frames are added at the end, so that others keep their numbers.

--- a/src/datagram/agent.rs
+++ b/src/datagram/agent.rs
@@ -2,6 +2,8 @@
 
 mod answers;
 mod delivery;
+mod granting;
+mod grants;
 mod held;
 mod machine;
 mod work;
--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -57,7 +57,8 @@
       self.turn_away(now, carried, Refusal::Leaving, out);
       return;
     }
-    if self.is_too_long(&flow) && !self.flows.contains_key(&flow) {
+    let granted = self.grants.take(carried.from);
+    if !granted && self.is_too_long(&flow) && !self.flows.contains_key(&flow) {
       self.turn_away(now, carried, Refusal::Busy, out);
       return;
     }
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -1,5 +1,6 @@
 use {
   super::{
+    grants::Grants,
     held::{Held, State},
     work::Work,
   },
@@ -55,6 +56,7 @@
   pub(super) flows: HashMap<Flow, Held>,
   /// Until when flows may turn up that this run has not seen opening.
   pub(super) forgetful_until: Instant,
+  pub(super) grants: Grants,
   /// What the run before had, as balancers tell it.
   pub(super) handed: Handover,
   pub(super) leaving: bool,
@@ -95,6 +97,7 @@
       expired: now,
       flows: HashMap::new(),
       forgetful_until: now + forgetful,
+      grants: Grants::default(),
       handed: Handover::default(),
       leaving: false,
       port: settings.callers.port(),
@@ -123,6 +126,7 @@
         flows,
         service,
       } => self.asked(now, from, &flows, service, complete, out),
+      Frame::Backlog { flows, service } => self.take_backlog(now, from, flows, service),
       Frame::Carry {
         complete,
         purpose,
@@ -293,10 +297,11 @@
 
   fn deadline(&self) -> Instant {
     let test = self.tests.front().map(|(deadline, _)| *deadline);
+    let grant = self.grants.deadline();
     let expected = self.expected.front().map(|(deadline, _)| *deadline);
     let status = self.spread.deadline();
     let report = (self.load_changed()).then_some(self.reported.0 + self.tuning.report);
-    [expected, report, test]
+    [expected, grant, report, test]
       .into_iter()
       .flatten()
       .fold(status, Instant::min)
@@ -322,7 +327,9 @@
     bytes: &[u8],
     out: &mut Outbox,
   ) -> Result<(), Code> {
-    self.take_frame(now, from, bytes, out)
+    let taken = self.take_frame(now, from, bytes, out);
+    self.grant(now, out);
+    taken
   }
 
   fn news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) {
@@ -330,7 +337,9 @@
   }
 
   fn packet(&mut self, now: Instant, packet: &mut [u8], out: &mut Outbox) -> Result<(), Code> {
-    self.take_packet(now, packet, out)
+    let taken = self.take_packet(now, packet, out);
+    self.grant(now, out);
+    taken
   }
 
   fn spread(&mut self) -> &mut Spread {
@@ -343,5 +352,6 @@
 
   fn tick(&mut self, now: Instant, out: &mut Outbox) {
     self.look(now, out);
+    self.grant(now, out);
   }
 }
--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -1,6 +1,7 @@
 //! What a balancer does with the packets of callers: it places new flows, remembers where they
 //! are, and searches for those that it does not know.
 
+mod announced;
 mod machine;
 mod opening;
 mod parking;
@@ -10,5 +11,6 @@
 mod search;
 mod searching;
 mod targets;
+mod waiting;
 
 pub use machine::Machine;
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -1,5 +1,6 @@
 use {
   super::{
+    announced::Announced,
     parking::Parking,
     patience::Patience,
     place::{Place, State},
@@ -46,6 +47,7 @@
 
 /// Decides where a balancer sends the packets of callers.
 pub struct Machine<C> {
+  pub(super) announced: Announced,
   /// Whether it was told of the time once: what a start takes is no standstill.
   pub(super) begun: bool,
   pub(super) codec: C,
@@ -87,6 +89,7 @@
   ) -> Self {
     let spread = Spread::new(now, settings, true, incarnation, tuning);
     Self {
+      announced: Announced::default(),
       begun: false,
       codec,
       counter,
@@ -220,8 +223,11 @@
     let (frame, packet) = Frame::decode(bytes)?;
     match frame {
       Frame::Absent { flows, known } => self.absent(now, from, &flows, &known, packet, out),
-      Frame::Ask { .. } | Frame::Carry { .. } => return Err(Code::FrameWrongTarget),
+      Frame::Ask { .. } | Frame::Backlog { .. } | Frame::Carry { .. } => {
+        return Err(Code::FrameWrongTarget);
+      }
       Frame::Found(flow) => self.found(now, from, flow, out),
+      Frame::Grant(load) => self.granted(now, from, load, out),
       Frame::Held { flows, part, parts } => {
         let fresh = || (now, Handover::default());
         let (at, handed) = self.handed.entry(from).or_insert_with(fresh);
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -137,7 +137,7 @@
   }
 
   /// Where a flow waits.
-  fn lane(&self, flow: &Flow, service: &Service) -> Lane {
+  pub(super) fn lane(&self, flow: &Flow, service: &Service) -> Lane {
     let route = self.spread.catalog().route(&flow.route);
     Lane {
       priority: route.map_or(u8::MAX, |route| route.priority),
@@ -145,120 +145,15 @@
     }
   }
 
-  fn choose(&self, now: Instant, flow: &Flow, service: &Service, tried: &Tried) -> Option<Choice> {
-    let limit_ms = self.limit_ms(flow);
-    self.targets.choose(now, service, tried, limit_ms)
-  }
-
-  /// Keeps an opening packet until a target can take it, if there is hope for it; its caller is
-  /// told at once if there is none.
-  fn park(
-    &mut self,
+  pub(super) fn choose(
+    &self,
     now: Instant,
-    flow: Flow,
+    flow: &Flow,
     service: &Service,
-    opening: Opening,
-    choice: Option<Choice>,
-    out: &mut Outbox,
-  ) -> Result<(), Code> {
-    let balancers = self.spread.balancers(now).len() + 1;
-    let rate = self.targets.rate(service) / balancers as f64;
-    let room = rate * self.tuning.park_room.as_secs_f64();
-    if (self.parking.len(service) as f64) < room {
-      log::info!(
-        flow:% = flow, service:% = service, wait_ms:? = choice.map(|choice| choice.wait_ms),
-        before = self.parking.len(service);
-        "balancer: flow waits for a target."
-      );
-      self.parking.push(now, &self.lane(&flow, service), flow);
-      let place = Place {
-        agent: self.spread.address(),
-        seen: now,
-        state: State::Parked(now, opening),
-      };
-      self.flows.insert(flow, place);
-      return Ok(());
-    }
-    log::info!(
-      flow:% = flow, service:% = service, at:? = choice.map(|choice| choice.agent),
-      wait_ms:? = choice.map(|choice| choice.wait_ms),
-      age_ms:? = choice.and_then(|choice| self.targets.age_ms(now, choice.agent)),
-      version:% = self.spread.catalog().version(), parked = self.parking.len(service);
-      "balancer: wait is too long."
-    );
-    self.give_up(now, &flow, &opening, out);
-    Err(Code::QueueFull)
-  }
-
-  /// Forgets a flow that no target was given, as far as this process knows, and tells its caller;
-  /// but not where a copy that did not come here may have had it opened by another balancer.
-  fn give_up(&mut self, now: Instant, flow: &Flow, opening: &Opening, out: &mut Outbox) {
-    let age = now.saturating_duration_since(opening.began);
-    // Half a gap for the time that packets take.
-    let missed = opening.copy + 1 < C::COPIES && age >= C::GAP / 2;
-    let told = !opening.may_be_open && !missed;
-    log::info!(
-      flow:% = flow, age:? = age, copy = opening.copy, told = told; "balancer: flow is given up."
-    );
-    self.flows.remove(flow);
-    if told {
-      self.reset(flow, 0, out);
-    }
-  }
-
-  /// Sends parked flows to targets that can take them: those of the highest priority first, and of
-  /// one priority the newest, which may still be answered in time; whoever is late is so anyway.
-  pub(super) fn release(&mut self, now: Instant, out: &mut Outbox) {
-    for lane in self.parking.due(now) {
-      self.expire_parked(now, &lane, out);
-      let service = &lane.service;
-      while let Some((since, flow)) = self.parking.pop_newest(&lane) {
-        let Some(opening) = self.parked(since, &flow) else {
-          continue;
-        };
-        let opening = opening.clone();
-        let choice = self.choose(now, &flow, service, &Tried::new());
-        let choice = choice.filter(|choice| self.fits(now, since, &flow, choice));
-        let Some(choice) = choice else {
-          self.parking.put_back(&lane, (since, flow));
-          break;
-        };
-        if self.spread.catalog().service(&flow.route) != Some(service) {
-          self.give_up(now, &flow, &opening, out);
-          continue;
-        }
-        self.send_to(now, flow, service, opening, choice, out);
-      }
-    }
-  }
-
-  /// The opening packet of a flow that has been parked since then.
-  fn parked(&self, since: Instant, flow: &Flow) -> Option<&Opening> {
-    match &self.flows.get(flow)?.state {
-      State::Parked(at, opening) if *at == since => Some(opening),
-      _ => None,
-    }
-  }
-
-  /// Whether a parked flow may go to a target: it is answered in time there, or keeps nobody
-  /// waiting who may be.
-  fn fits(&self, now: Instant, since: Instant, flow: &Flow, choice: &Choice) -> bool {
-    let age_ms = now.saturating_duration_since(since).as_secs_f64() * 1000.0;
-    choice.is_free || !self.is_too_long(flow, choice.wait_ms + age_ms)
-  }
-
-  fn expire_parked(&mut self, now: Instant, lane: &Lane, out: &mut Outbox) {
-    let Some(limit) = now.checked_sub(self.tuning.park) else {
-      return;
-    };
-    while let Some((since, flow)) = self.parking.pop_oldest(lane, limit) {
-      let Some(opening) = self.parked(since, &flow) else {
-        continue;
-      };
-      let opening = opening.clone();
-      self.counter.count(Code::QueueFull);
-      self.give_up(now, &flow, &opening, out);
-    }
+    tried: &Tried,
+  ) -> Option<Choice> {
+    let limit_ms = self.limit_ms(flow);
+    self.targets.choose(now, service, tried, limit_ms)
   }
 
   /// An opening packet goes on to the next target.
--- a/src/datagram/balancer/parking.rs
+++ b/src/datagram/balancer/parking.rs
@@ -49,6 +49,12 @@
     })
   }
 
+  /// The lanes of a service, the highest priority first.
+  pub fn lanes(&self, service: &Service) -> Vec<Lane> {
+    let lanes = self.parked.keys().filter(|lane| lane.service == *service);
+    lanes.cloned().collect()
+  }
+
   /// How many flows are parked.
   pub fn total(&self) -> usize {
     self.parked.values().map(VecDeque::len).sum()
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -191,9 +191,38 @@
       Some((cost, agent))
     });
     let (_, agent) = costs.min_by(|one, other| one.0.total_cmp(&other.0))?;
-    let seen = self.by_agent.get(agent)?;
+    self.choice(*agent)
+  }
+
+  /// The service of an agent's target.
+  pub fn service(&self, agent: SocketAddrV4) -> Option<&Service> {
+    self.by_agent.get(&agent).map(|seen| &seen.service)
+  }
+
+  /// The agents of a service's targets that most likely serve.
+  pub fn serving(&self, now: Instant, service: &Service) -> Vec<SocketAddrV4> {
+    let agents = self.services.get(service).into_iter().flatten().copied();
+    let here = agents.filter(|agent| self.service(*agent) == Some(service));
+    here.filter(|agent| self.serves(now, *agent)).collect()
+  }
+
+  /// Whether a target most likely serves: it is listed, heard of, and answers as others do.
+  pub fn serves(&self, now: Instant, agent: SocketAddrV4) -> bool {
+    let Some(seen) = self.by_agent.get(&agent) else {
+      return false;
+    };
+    if seen.gone.is_some() || is_hasty(seen, self.typical_ms(&seen.service)) {
+      return false;
+    }
+    let cost = self.cost(now, seen, 0.0);
+    cost.is_some_and(|cost| cost < UNLIKELY_MS)
+  }
+
+  /// A certain target for a new flow.
+  pub fn choice(&self, agent: SocketAddrV4) -> Option<Choice> {
+    let seen = self.by_agent.get(&agent)?;
     Some(Choice {
-      agent: *agent,
+      agent,
       is_free: seen.load.work.saturating_add(seen.pending) < seen.slots,
       wait_ms: wait(seen),
     })
@@ -381,8 +410,7 @@
     if seen.stopping || !self.is_heard(now, seen) {
       cost += UNLIKELY_MS;
     }
-    let service_ms = f64::from(seen.load.service_ms);
-    if service_ms > 0.0 && service_ms < typical_ms * HASTY_PART {
+    if is_hasty(seen, typical_ms) {
       cost += HASTY_MS;
     }
     if seen.data_centre != self.data_centre {
@@ -414,6 +442,12 @@
   }
 }
 
+/// Whether a target answers far sooner than is typical of its service.
+fn is_hasty(seen: &Seen, typical_ms: f64) -> bool {
+  let service_ms = f64::from(seen.load.service_ms);
+  service_ms > 0.0 && service_ms < typical_ms * HASTY_PART
+}
+
 /// The time until a request more would be answered there, in milliseconds.
 fn wait(seen: &Seen) -> f64 {
   wait_ms(
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -131,6 +131,16 @@
   Status(Status),
   /// The agent cannot say whether it has the flows; a packet of each would tell.
   Unsure(Vec<Flow>),
+  // The number of a variant is on the wire: what is new comes last.
+  /// New flows wait in the balancer for a target of the service.
+  Backlog {
+    /// How many; where none does, places that the agent keeps for the balancer are given back.
+    flows: u16,
+    /// The digest of the service's name.
+    service: u64,
+  },
+  /// The agent keeps a place for one of the balancer's flows that wait.
+  Grant(Load),
 }
 
 impl Frame {
--- /dev/null
+++ b/tests/datagram/grants.rs
@@ -0,0 +1,260 @@
+//! An agent keeps places at its upstream for flows that wait in balancers, and no more than there
+//! are.
+
+use {
+  crate::{
+    balancing::{Balancer, balancer, busy, carried, tell},
+    plain::{Packet, Plain},
+    support::{Sent, Stepped, configured, flow, listed, news, peer},
+  },
+  assert_matches::assert_matches,
+  fallwell::{
+    config::Presence,
+    datagram::{
+      Frame, Load, Service, Version, agent,
+      frame::{Purpose, Refusal},
+    },
+  },
+  std::{net::SocketAddrV4, time::Duration},
+};
+
+type Agent = Stepped<agent::Machine<Plain>>;
+
+/// Places of an upstream with 4 slots: one more for two slots.
+const PLACES: usize = 6;
+
+/// An agent of service `a` whose upstream has 4 slots and nothing to do.
+fn agent() -> Agent {
+  let mut agent = Stepped::agent(9, "a", true);
+  let records = [
+    configured(1, 1, &[(1, "a")]),
+    listed(2, "up", 9, "a", Presence::Live),
+  ];
+  agent.platform(news(None, 2, &records));
+  agent
+}
+
+fn digest(service: &str) -> u64 {
+  service.parse::<Service>().expect("a name").digest()
+}
+
+fn backlog(flows: u16) -> Frame {
+  let service = digest("a");
+  Frame::Backlog { flows, service }
+}
+
+/// Who was granted a place, in order.
+fn granted(sent: &[Sent]) -> Vec<SocketAddrV4> {
+  let frames = sent.iter().filter_map(|sent| match sent {
+    Sent::Frame(to, Frame::Grant(_), _) => Some(*to),
+    _ => None,
+  });
+  frames.collect()
+}
+
+/// A flow comes to the agent.
+fn open(agent: &mut Agent, from: u8, port: u16) -> Vec<Sent> {
+  let carry = Frame::Carry {
+    complete: fallwell::Revision(2),
+    purpose: Purpose::Open,
+    service: digest("a"),
+    version: Version(1),
+  };
+  let packet = Packet::open(flow(port, 1), 0);
+  agent.frame(from, &carry, &packet.write())
+}
+
+#[test]
+fn free_places_are_granted_at_once_and_no_more_than_there_are() {
+  let mut agent = agent();
+  let sent = agent.frame(1, &backlog(40), &[]);
+  assert_eq!(granted(&sent), [peer(1); PLACES]);
+  assert_eq!(granted(&agent.frame(1, &backlog(40), &[])), []);
+  // What is taken is work now, and still takes its place.
+  for port in 1..=6 {
+    assert_eq!(granted(&open(&mut agent, 1, port)), []);
+  }
+}
+
+#[test]
+fn nobody_is_granted_more_than_waits_there() {
+  let mut agent = agent();
+  assert_eq!(granted(&agent.frame(1, &backlog(2), &[])), [peer(1); 2]);
+}
+
+#[test]
+fn a_place_that_becomes_free_is_granted_at_once() {
+  let mut agent = agent();
+  agent.frame(1, &backlog(40), &[]);
+  for port in 1..=6 {
+    open(&mut agent, 1, port);
+  }
+  let returned = Packet {
+    returned: true,
+    ..Packet::open(flow(1, 1), 0)
+  };
+  assert_eq!(granted(&agent.packet(returned)), [peer(1)]);
+}
+
+#[test]
+fn callers_have_the_same_chance_at_all_balancers() {
+  let mut agent = agent();
+  let sent = agent.frame(1, &backlog(40), &[]);
+  assert_eq!(granted(&sent), [peer(1); PLACES]);
+  agent.frame(2, &backlog(36), &[]);
+  for port in 1..=6 {
+    open(&mut agent, 1, port);
+  }
+  // 34 wait at the first and 36 at the second.
+  let mut to = Vec::new();
+  for port in 1..=6 {
+    let returned = Packet {
+      returned: true,
+      ..Packet::open(flow(port, 1), 0)
+    };
+    to.extend(granted(&agent.packet(returned)));
+  }
+  let second = to.iter().filter(|to| **to == peer(2)).count();
+  assert_eq!((to.len(), second), (6, 4));
+}
+
+#[test]
+fn a_place_that_is_not_taken_is_granted_again() {
+  let mut agent = agent();
+  agent.frame(1, &backlog(40), &[]);
+  assert_eq!(granted(&agent.pass(Duration::from_millis(20))), []);
+  let sent = agent.pass(Duration::from_millis(10));
+  assert_eq!(granted(&sent), [peer(1); PLACES]);
+}
+
+#[test]
+fn a_balancer_where_nothing_waits_gives_its_places_back() {
+  let mut agent = agent();
+  agent.frame(1, &backlog(40), &[]);
+  agent.frame(2, &backlog(40), &[]);
+  let sent = agent.frame(1, &backlog(0), &[]);
+  assert_eq!(granted(&sent), [peer(2); PLACES]);
+}
+
+#[test]
+fn a_silent_balancer_is_granted_nothing() {
+  let mut agent = agent();
+  agent.frame(1, &backlog(40), &[]);
+  assert_eq!(granted(&agent.pass(Duration::from_millis(400))), []);
+}
+
+#[test]
+fn a_leaving_upstream_grants_nothing() {
+  let mut agent = agent();
+  let leaving = listed(3, "up", 9, "a", Presence::Leaving);
+  agent.platform(news(Some(2), 3, &[leaving]));
+  assert_eq!(agent.frame(1, &backlog(40), &[]), []);
+}
+
+#[test]
+fn a_backlog_of_another_service_is_granted_nothing() {
+  let mut agent = agent();
+  let other = Frame::Backlog {
+    flows: 40,
+    service: digest("b"),
+  };
+  assert_eq!(agent.frame(1, &other, &[]), []);
+}
+
+#[test]
+fn a_granted_flow_is_not_turned_away() {
+  let mut agent = agent();
+  let mut port = 0;
+  let busy = loop {
+    port += 1;
+    let sent = open(&mut agent, 2, port);
+    if let Some(Sent::Frame(_, Frame::Refused(_, Refusal::Busy, _), _)) = sent.first() {
+      break sent;
+    }
+  };
+  assert_eq!(busy.len(), 1);
+  // Its places came free before the others were placed.
+  let mut agent = self::agent();
+  agent.frame(1, &backlog(1), &[]);
+  for other in 1..port {
+    open(&mut agent, 2, other);
+  }
+  assert_matches!(open(&mut agent, 1, 1000)[..], [Sent::Upstream(_)]);
+}
+
+/// A balancer both of whose targets of service `a` are full, and with a flow that waits.
+fn waiting() -> Balancer {
+  let mut balancer = balancer();
+  for host in [11, 12] {
+    tell(&mut balancer, host, 1, busy(24));
+  }
+  assert_eq!(balancer.packet(Packet::open(flow(1, 1), 0)), []);
+  balancer
+}
+
+/// Who was told how many flows wait.
+fn told(sent: &[Sent]) -> Vec<(SocketAddrV4, u16)> {
+  let frames = sent.iter().filter_map(|sent| match sent {
+    Sent::Frame(to, Frame::Backlog { flows, .. }, _) => Some((*to, *flows)),
+    _ => None,
+  });
+  frames.collect()
+}
+
+#[test]
+fn agents_of_the_service_are_told_that_flows_wait() {
+  let mut balancer = waiting();
+  let sent = balancer.pass(Duration::ZERO);
+  assert_eq!(told(&sent), [(peer(11), 1), (peer(12), 1)]);
+  // And again before they forget it.
+  assert_eq!(told(&balancer.pass(Duration::from_millis(50))), []);
+  let sent = balancer.pass(Duration::from_millis(60));
+  assert_eq!(told(&sent), [(peer(11), 1), (peer(12), 1)]);
+}
+
+#[test]
+fn a_granted_place_is_taken_by_a_flow_that_waits() {
+  let mut balancer = waiting();
+  let sent = balancer.frame(12, &Frame::Grant(busy(5)), &[]);
+  assert_eq!(carried(&sent), [(12, Purpose::Open)]);
+  // Nothing waits any more: the next place is given back.
+  let sent = balancer.frame(12, &Frame::Grant(busy(5)), &[]);
+  assert_eq!(sent, [Sent::Frame(peer(12), backlog(0), vec![])]);
+}
+
+#[test]
+fn a_granted_place_on_a_route_dropped_meanwhile_is_given_back() {
+  let mut balancer = waiting();
+  balancer.platform(news(Some(4), 5, &[configured(5, 2, &[(2, "b")])]));
+  let sent = balancer.frame(12, &Frame::Grant(busy(5)), &[]);
+  assert_eq!(carried(&sent), []);
+  assert_eq!(told(&sent), [(peer(12), 0)]);
+}
+
+#[test]
+fn a_place_at_a_leaving_target_is_not_taken() {
+  let mut balancer = waiting();
+  let leaving = listed(5, "up-12", 12, "a", Presence::Leaving);
+  balancer.platform(news(Some(4), 5, &[leaving]));
+  let sent = balancer.frame(12, &Frame::Grant(Load::default()), &[]);
+  assert_eq!(carried(&sent), []);
+}
+
+#[test]
+fn a_place_at_a_target_that_answers_far_too_soon_is_not_taken() {
+  let mut balancer = balancer();
+  let records = [listed(5, "up-13", 13, "a", Presence::Live)];
+  balancer.platform(news(Some(4), 5, &records));
+  let load = |service_ms, work| Load {
+    service_ms,
+    work,
+    ..Load::default()
+  };
+  tell(&mut balancer, 11, 1, load(40, 24));
+  tell(&mut balancer, 12, 1, load(40, 24));
+  tell(&mut balancer, 13, 1, load(1, 600));
+  assert_eq!(balancer.packet(Packet::open(flow(1, 1), 0)), []);
+  // It fails at once what it is given, so that it always has free places.
+  let sent = balancer.frame(13, &Frame::Grant(load(1, 0)), &[]);
+  assert_eq!(carried(&sent), []);
+}
--- a/tests/datagram/main.rs
+++ b/tests/datagram/main.rs
@@ -2,12 +2,15 @@
 
 mod agent;
 mod balancer;
+mod balancing;
 mod bundle;
 mod catalog;
 mod frame;
+mod grants;
 mod logs;
 mod plain;
 mod random_run;
 mod spread;
 mod support;
+mod waiting;
 mod world;
