Count an opened flow as work as long as callers take to ask

Hypothesis: after a loss of power many opened flows are of callers who have gone; each counted as work for 0.3 s, six times as long as a request takes.

Change: an agent observes the time from the opening packet to the first request and waits three times its mean, 20 to 300 ms, as balancers do for their answers; Patience is now shared by both roles. Late first requests are observed too, so that the wait grows back. The deadlines are kept in order, since the newest need no longer be the last. The test failed first (work of 4 instead of 3).

--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -20,6 +20,7 @@
 mod load;
 pub mod node;
 mod outbox;
+mod patience;
 mod record;
 mod service;
 mod settings;
@@ -38,6 +39,7 @@
   head::Head,
   load::Load,
   outbox::{Datagram, Outbox, Via},
+  patience::Patience,
   record::{News, Record},
   service::Service,
   settings::{Settings, Tuning, Upstream},
--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -73,9 +73,9 @@
     entry.seen = now;
     if !entry.expected && entry.waits.is_none() {
       entry.expected = true;
+      entry.opened = Some(now);
       self.work.begun();
-      let until = now + self.tuning.expected;
-      self.expected.push_back((until, flow));
+      self.expected.insert((now + self.arrival.wait(), flow));
     }
     self.work.asked(now);
     out.packet(Via::Upstream, self.upstream.address, carried.packet);
@@ -112,6 +112,9 @@
     }
     entry.bytes = entry.bytes.saturating_add(carried.packet.len() as u32);
     let newer = carried.head.data > 0 && entry.take_data(now, carried.head.sequence);
+    if newer && let Some(opened) = entry.opened.take() {
+      self.arrival.observe(now.saturating_duration_since(opened));
+    }
     if newer && entry.waits.is_none() {
       entry.waits = Some(now);
       if !std::mem::take(&mut entry.expected) {
--- a/src/datagram/agent/held.rs
+++ b/src/datagram/agent/held.rs
@@ -14,6 +14,8 @@
   /// When the caller's newest data passed, and its sequence number: what was sent again is not
   /// newer.
   pub newest: Option<(Instant, u32)>,
+  /// When the upstream was given its opening packet; none once its first request has come.
+  pub opened: Option<Instant>,
   /// When its last packet passed, either way.
   pub seen: Instant,
   /// How far it is.
@@ -41,6 +43,7 @@
       bytes: 0,
       expected: false,
       newest: None,
+      opened: None,
       seen: now,
       state,
       waits: None,
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -9,14 +9,14 @@
     config::Presence,
     counter::Counter,
     datagram::{
-      Change, Codec, Flow, Frame, Handover, Head, Load, News, Origin, Outbox, Settings, Spread,
-      Tuning, Upstream, Version, event,
+      Change, Codec, Flow, Frame, Handover, Head, Load, News, Origin, Outbox, Patience, Settings,
+      Spread, Tuning, Upstream, Version, event,
       frame::{Purpose, Role},
     },
   },
   serde_json::json,
   std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     net::SocketAddrV4,
     sync::Arc,
     time::{Duration, Instant},
@@ -48,10 +48,13 @@
 
 /// Decides which packets reach an agent's upstream, and sends the upstream's to the callers.
 pub struct Machine<C> {
+  /// How long callers take from an opening packet to their first request. Some have gone: an idle
+  /// place was kept for each of them for 0.3 s.
+  pub(super) arrival: Patience,
   pub(super) codec: C,
   pub(super) counter: Arc<Counter>,
   /// Opened flows whose first request is about to come, and until when they count as work.
-  pub(super) expected: VecDeque<(Instant, Flow)>,
+  pub(super) expected: BTreeSet<(Instant, Flow)>,
   pub(super) expired: Instant,
   pub(super) flows: HashMap<Flow, Held>,
   /// Until when flows may turn up that this run has not seen opening.
@@ -91,9 +94,10 @@
       tuning.amnesia
     };
     Self {
+      arrival: Patience::new(tuning.expected.0, tuning.expected.1),
       codec,
       counter,
-      expected: VecDeque::new(),
+      expected: BTreeSet::new(),
       expired: now,
       flows: HashMap::new(),
       forgetful_until: now + forgetful,
@@ -235,11 +239,11 @@
       self.tests.pop_front();
       self.kept(flow, deadline, out);
     }
-    while let Some((deadline, flow)) = self.expected.front().copied() {
+    while let Some((deadline, flow)) = self.expected.first().copied() {
       if deadline > now {
         break;
       }
-      self.expected.pop_front();
+      self.expected.pop_first();
       if let Some(entry) = self.flows.get_mut(&flow)
         && std::mem::take(&mut entry.expected)
       {
@@ -298,7 +302,7 @@
   fn deadline(&self) -> Instant {
     let test = self.tests.front().map(|(deadline, _)| *deadline);
     let grant = self.grants.deadline();
-    let expected = self.expected.front().map(|(deadline, _)| *deadline);
+    let expected = self.expected.first().map(|(deadline, _)| *deadline);
     let status = self.spread.deadline();
     let report = (self.load_changed()).then_some(self.reported.0 + self.tuning.report);
     [expected, grant, report, test]
--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -5,7 +5,6 @@
 mod machine;
 mod opening;
 mod parking;
-mod patience;
 mod place;
 mod questions;
 mod search;
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -2,7 +2,6 @@
   super::{
     announced::Announced,
     parking::Parking,
-    patience::Patience,
     place::{Place, State},
     questions::Questions,
     search::Search,
@@ -12,8 +11,8 @@
     Code,
     counter::Counter,
     datagram::{
-      Codec, Flow, Frame, Handover, Head, News, Origin, Outbox, Service, Settings, Spread, Tuning,
-      Via, event,
+      Codec, Flow, Frame, Handover, Head, News, Origin, Outbox, Patience, Service, Settings,
+      Spread, Tuning, Via, event,
       frame::{Purpose, Role, Status},
     },
   },
@@ -100,7 +99,7 @@
       lowest: HashMap::new(),
       openings: BTreeSet::new(),
       parking: Parking::new(now),
-      patience: Patience::new(tuning.open_wait),
+      patience: Patience::new(tuning.open_wait, tuning.open_wait),
       port: settings.callers.port(),
       questions: Questions::new(now),
       searches: HashMap::new(),
--- a/src/datagram/balancer/patience.rs
+++ b/src/datagram/patience.rs
@@ -9,9 +9,9 @@
 /// The longest wait: half of what passes before a caller's last copy of an opening packet.
 const LONGEST: Duration = Duration::from_millis(300);
 
-/// How long an opening packet may stay unanswered. It grows with the time that answers take: a
-/// balancer that has more to do than it can would otherwise ask for everything several times, and
-/// have even more to do.
+/// How long something may stay unanswered: a few times the mean of what answers take. A balancer
+/// that has more to do than it can would otherwise ask for everything several times, and have even
+/// more to do.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
   least: Duration,
@@ -19,14 +19,16 @@
 }
 
 impl Patience {
-  /// A patience that is never shorter than `least`.
-  pub fn new(least: Duration) -> Self {
-    Self { least, mean: 0.0 }
+  /// A patience that is never shorter than `least`, and `first` before anything is observed.
+  pub fn new(least: Duration, first: Duration) -> Self {
+    let mean = first.as_secs_f64() / TIMES;
+    Self { least, mean }
   }
 
   /// An answer took so long.
   pub fn observe(&mut self, time: Duration) {
-    self.mean += NEWEST * (time.as_secs_f64() - self.mean);
+    let time = time.min(LONGEST).as_secs_f64();
+    self.mean += NEWEST * (time - self.mean);
   }
 
   /// How long the next one may take.
--- a/src/datagram/settings.rs
+++ b/src/datagram/settings.rs
@@ -89,8 +89,9 @@
   /// kilobyte of a request and its answer. Traffic between data centres has a price; of (10, 8),
   /// (20, 16), (40, 8) and (40, 32) the two in the middle did best.
   pub crossing: (f64, f64),
-  /// How long an opened flow counts as work before its first request has come.
-  pub expected: Duration,
+  /// How long an opened flow counts as work before its first request has come: at least, which
+  /// callers near by need, and before it is known what callers need.
+  pub expected: (Duration, Duration),
   /// How long a flow that was reset is remembered.
   pub dead: Duration,
   /// How often a process of another data centre is told at most: between data centres a byte has a
@@ -140,7 +141,7 @@
       amnesia: Duration::from_mins(1),
       crossing: (30.0, 12.0),
       dead: Duration::from_secs(3),
-      expected: Duration::from_millis(300),
+      expected: (Duration::from_millis(20), Duration::from_millis(300)),
       far: Duration::from_millis(700),
       far_agent: Duration::from_secs(2),
       flows_max: 200_000,
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -425,3 +425,30 @@
   // Not 20 ms, as if the third had waited behind the others.
   assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(_, load), _) if load.service_ms == 0);
 }
+
+#[test]
+fn a_flow_without_a_request_counts_as_work_a_few_times_as_long_as_callers_take() {
+  let (mut agent, _) = with_flow(true);
+  for port in 1..=40 {
+    deliver(&mut agent, Purpose::Open, Packet::open(flow(port, 1), 0));
+    agent.packet(answer(flow(port, 1), 100));
+    agent.pass(Duration::from_millis(10));
+    deliver(&mut agent, Purpose::Deliver, Packet::data(flow(port, 1), 2, 101));
+    agent.packet(Packet::data(flow(port, 1), 101, 3));
+  }
+  let work = |agent: &mut Agent, port| {
+    deliver(agent, Purpose::Open, Packet::open(flow(port, 1), 0));
+    let sent = agent.packet(answer(flow(port, 1), 100));
+    let Some(Sent::Frame(_, Frame::Opened(_, load), _)) = sent.first() else {
+      panic!("{sent:?}");
+    };
+    load.work
+  };
+  // The flow of `with_flow` waits for its answer.
+  assert_eq!(work(&mut agent, 41), 2);
+  agent.pass(Duration::from_millis(25));
+  assert_eq!(work(&mut agent, 42), 3);
+  // Callers take 10 ms: after 35 ms that of the first has gone.
+  agent.pass(Duration::from_millis(10));
+  assert_eq!(work(&mut agent, 43), 3);
+}
