Tell how long a flow waited, what was granted, and where the counts are

Change: `flow is placed` has the flow's age and whether the place was granted; counters for grants and for places that nobody took, a histogram of the waits, and the places that are kept in the state. An answer that names many flows lets the list of past targets be taken once for each service, not once for each flow.

--- a/src/datagram/agent/granting.rs
+++ b/src/datagram/agent/granting.rs
@@ -33,7 +33,8 @@
   /// hear are older than a request takes, and targets were given 450 requests a second of the 525
   /// that they could take.
   pub(super) fn grant(&mut self, now: Instant, out: &mut Outbox) {
-    self.grants.expire(now);
+    let lapsed = self.grants.expire(now);
+    self.counter.add("grants.lapsed", lapsed);
     if self.leaving || self.grants.is_empty() {
       return;
     }
@@ -48,6 +49,7 @@
       let Some(balancer) = self.grants.next(now) else {
         return;
       };
+      self.counter.add("grants", 1);
       out.frame(balancer, &Frame::Grant(load), &[]);
     }
   }
--- a/src/datagram/agent/grants.rs
+++ b/src/datagram/agent/grants.rs
@@ -43,17 +43,20 @@
     self.kept.front().map(|(until, _)| *until)
   }
 
-  /// Forgets places that were not taken in time, and balancers that are silent.
-  pub fn expire(&mut self, now: Instant) {
+  /// Forgets places that were not taken in time, and balancers that are silent; how many places.
+  pub fn expire(&mut self, now: Instant) -> u64 {
+    let mut lapsed = 0;
     while let Some((until, balancer)) = self.kept.front().copied() {
       if until > now {
         break;
       }
       self.kept.pop_front();
       self.give_back(balancer);
+      lapsed += 1;
     }
     let silent = |heard: Instant| now.saturating_duration_since(heard) >= HEARD;
     self.backlogs.retain(|_, backlog| !silent(backlog.heard));
+    lapsed
   }
 
   /// Whether flows wait nowhere, as far as balancers said.
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -316,6 +316,7 @@
     json!({
       "flows": self.flows.len(),
       "forgetful_ms": forgetful.as_millis() as u64,
+      "granted": self.grants.kept(),
       "leaving": self.leaving,
       "load": self.load(now),
       "slots": self.slots,
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -96,9 +96,15 @@
     choice: Choice,
     out: &mut Outbox,
   ) {
-    let Choice { agent, wait_ms, .. } = choice;
+    let Choice {
+      agent,
+      is_granted,
+      wait_ms,
+      ..
+    } = choice;
     log::info!(
       flow:% = flow, service:% = service, to:% = agent, before = opening.tried.len(),
+      age:? = now.saturating_duration_since(opening.first), granted = is_granted,
       wait_ms = wait_ms, version:% = self.spread.catalog().version();
       "balancer: flow is placed."
     );
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -13,7 +13,11 @@
       frame::{Known, Purpose},
     },
   },
-  std::{collections::BTreeMap, net::SocketAddrV4, time::Instant},
+  std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
+    time::Instant,
+  },
 };
 
 impl<C: Codec> Machine<C> {
@@ -73,6 +77,12 @@
     out: &mut Outbox,
   ) {
     self.spread.is_behind(now, from, known.complete);
+    let services = flows
+      .iter()
+      .filter_map(|flow| self.spread.catalog().service(&flow.route));
+    for service in services.collect::<BTreeSet<_>>() {
+      self.targets.learn(now, service, &known.past);
+    }
     for flow in flows {
       let here = self.flows.get(flow);
       let here =
@@ -80,9 +90,6 @@
       if here {
         self.flows.remove(flow);
       }
-      if let Some(service) = self.spread.catalog().service(&flow.route) {
-        self.targets.learn(now, service, &known.past);
-      }
       if let Some(search) = self.searches.get_mut(flow) {
         search.waiting.retain(|agent| *agent != from);
         // A target that is not known here yet may have the flow.
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -96,6 +96,8 @@
   pub agent: SocketAddrV4,
   /// Whether a request would be worked on at once.
   pub is_free: bool,
+  /// Whether its agent keeps a place for the flow.
+  pub is_granted: bool,
   /// The time until a request would be answered there, in milliseconds.
   pub wait_ms: f64,
 }
@@ -224,6 +226,7 @@
     Some(Choice {
       agent,
       is_free: seen.load.work.saturating_add(seen.pending) < seen.slots,
+      is_granted: false,
       wait_ms: wait(seen),
     })
   }
--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -147,6 +147,8 @@
       self.give_up(now, &flow, &opening, out);
       return false;
     }
+    let waited = now.saturating_duration_since(opening.began);
+    self.counter.observe("wait", waited);
     self.send_to(now, flow, &lane.service, opening, choice, out);
     true
   }
@@ -178,6 +180,10 @@
     let Some(choice) = self.targets.choice(agent) else {
       return false;
     };
+    let choice = Choice {
+      is_granted: true,
+      ..choice
+    };
     for lane in self.parking.lanes(service) {
       self.expire_parked(now, &lane, out);
       while let Some(parked) = self.most_urgent(now, &lane, &choice) {
