--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -2,6 +2,7 @@
 //! are, and searches for those that it does not know.
 
 mod announced;
+mod choosing;
 mod machine;
 mod opening;
 mod parking;
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -2,10 +2,10 @@
 
 use {
   super::{
+    choosing::Choice,
     machine::{Machine, TRIES_MAX},
     parking::Lane,
     place::{Opening, Place, State, Tried},
-    targets::Choice,
   },
   crate::{
     Code,
--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -2,10 +2,10 @@
 
 use {
   super::{
+    choosing::Choice,
     machine::Machine,
     parking::{Lane, Parked},
     place::{Opening, Place, State, Tried},
-    targets::Choice,
   },
   crate::{
     Code,
--- a/tests/datagram/random_run.rs
+++ b/tests/datagram/random_run.rs
@@ -87,6 +87,22 @@
   world.run(6000);
 }
 
+/// Nothing waits any more, and every flow is served.
+fn is_well(world: &mut World, seed: u64) {
+  assert_eq!(world.waiting(), 0, "seed {seed}");
+  let before = world.ended.0;
+  for number in 0..40 {
+    world.call(1 + number % 2, 3);
+    world.run(20);
+  }
+  world.run(3000);
+  assert_eq!(
+    world.ended.0,
+    before + 40,
+    "seed {seed}: not all were served"
+  );
+}
+
 fn play(seed: u64) {
   let mut world = world(seed);
   for _ in 0..40 {
@@ -103,18 +119,7 @@
   }
   mend(&mut world);
   assert!(world.is_level(), "seed {seed}: a process is behind");
-  assert_eq!(world.waiting(), 0, "seed {seed}");
-  let before = world.ended.0;
-  for number in 0..40 {
-    world.call(1 + number % 2, 3);
-    world.run(20);
-  }
-  world.run(3000);
-  assert_eq!(
-    world.ended.0,
-    before + 40,
-    "seed {seed}: not all were served"
-  );
+  is_well(&mut world, seed);
 }
 
 #[test]
@@ -247,18 +252,7 @@
     assert!(world.is_level(), "seed {seed}: a process is behind");
   }
   mend(&mut world);
-  assert_eq!(world.waiting(), 0, "seed {seed}");
-  let before = world.ended.0;
-  for number in 0..40 {
-    world.call(1 + number % 2, 3);
-    world.run(20);
-  }
-  world.run(3000);
-  assert_eq!(
-    world.ended.0,
-    before + 40,
-    "seed {seed}: not all were served"
-  );
+  is_well(&mut world, seed);
 }
 
 #[test]
