Hand over an agent's flows with its last word, and keep flows open that are answered again

Ruled out: a lost part (parts are counted), a late status (the list was whole). Seen by nobody because the tests' world stopped a process in one moment, and its agents, all young, never handed over a whole list.

Change: Event::End. The list is written when nothing passes any more, with the answers' sequence numbers of half open flows; it counts as whole for 5 s, never from parts of two lists; a late opening packet does not hide what it names. Agents that do not know all flows hand over what they know. A second way to the same reset: a late copy of an opening packet, answered again or sent back, made an open flow half open or forgot it, and its caller's next packet was denied.

Before: random_run::flows_that_open_while_their_agent_stops_outlive_its_restart resets an open flow on the code before. Frame::Held is for what balancers know; the two tests of a handover's parts name the new frame.

--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -15,7 +15,8 @@
 mod flow;
 /// What passes between the processes in datagrams.
 pub mod frame;
-mod handover;
+/// What an agent that stops leaves to its next run.
+pub mod handover;
 mod head;
 mod load;
 pub mod node;
--- a/src/datagram/agent/answers.rs
+++ b/src/datagram/agent/answers.rs
@@ -45,7 +45,7 @@
     entry.seen = now;
     entry.bytes = entry.bytes.saturating_add(length as u32);
     if head.opens {
-      entry.state = State::Opening(Some(head.sequence));
+      entry.take_answer(head.sequence);
       if let Some(balancer) = entry.balancer {
         out.frame(balancer, &Frame::Opened(flow, load), &[]);
       }
@@ -54,7 +54,7 @@
     if let (State::Tested { .. }, Some(balancer)) = (entry.state, entry.balancer) {
       out.frame(balancer, &Frame::Found(flow), &[]);
     }
-    if !matches!(entry.state, State::Opening(_)) {
+    if !matches!(entry.state, State::Opening) {
       entry.state = State::Open;
     }
     if head.data == 0 && !head.resets && !head.ends {
@@ -83,6 +83,13 @@
     let flow = head.flow;
     self.work.heard();
     let entry = self.flows.get(&flow).copied();
+    if let (true, Some(taken)) = (head.opens, entry.filter(Held::is_taken)) {
+      // A late copy: what the upstream took before stays there.
+      if let Some(balancer) = taken.balancer {
+        out.frame(balancer, &Frame::Opened(flow, self.load(now)), &[]);
+      }
+      return;
+    }
     if entry.is_some_and(|entry| entry.waits.is_some() || entry.expected) {
       self.work.ended();
     }
--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -69,9 +69,9 @@
     let entry = self
       .flows
       .entry(flow)
-      .or_insert(Held::new(now, State::Opening(None), None));
+      .or_insert(Held::new(now, State::Opening, None));
     if matches!(entry.state, State::Absent | State::Tested { .. }) {
-      entry.state = State::Opening(None);
+      entry.state = State::Opening;
     }
     entry.balancer = Some(carried.from);
     entry.seen = now;
@@ -98,15 +98,15 @@
       return;
     };
     match entry.state {
-      State::Opening(sequence) if is_answered(sequence, carried.head.acknowledges) => {
+      State::Opening if entry.is_answered(carried.head.acknowledges) => {
         entry.state = State::Open;
       }
       // An opening packet that came late may be of a flow that the run before had opened.
-      State::Opening(_) if forgetful => {
+      State::Opening if forgetful => {
         self.test(now, carried, out);
         return;
       }
-      State::Opening(_) | State::Absent => {
+      State::Opening | State::Absent => {
         absent(carried, self.known(now, carried.complete), out);
         return;
       }
@@ -184,8 +184,8 @@
     };
     match entry.state {
       State::Open => Holds::Yes,
-      State::Opening(sequence) if is_answered(sequence, acknowledges) => Holds::Yes,
-      State::Opening(_) => unknown,
+      State::Opening if entry.is_answered(acknowledges) => Holds::Yes,
+      State::Opening => unknown,
       State::Absent => Holds::No,
       State::Tested { .. } => {
         entry.balancer = Some(asker);
@@ -294,11 +294,6 @@
   Unknown,
 }
 
-/// Whether a caller acknowledges the upstream's answer to its opening packet.
-fn is_answered(sequence: Option<u32>, acknowledges: u32) -> bool {
-  sequence.is_some_and(|sequence| acknowledges.wrapping_sub(sequence) <= 1)
-}
-
 /// Tells a balancer that a flow is not here.
 fn absent(carried: &Carried, known: Known, out: &mut Outbox) {
   let packet = match carried.purpose {
--- a/src/datagram/agent/held.rs
+++ b/src/datagram/agent/held.rs
@@ -1,4 +1,7 @@
-use std::{net::SocketAddrV4, time::Instant};
+use {
+  crate::datagram::{Flow, handover::Passed},
+  std::{net::SocketAddrV4, time::Instant},
+};
 
 /// A flow at the agent's upstream.
 #[derive(Clone, Copy, Debug)]
@@ -18,6 +21,8 @@
   pub opened: Option<Instant>,
   /// When its last packet passed, either way.
   pub seen: Instant,
+  /// The sequence number of the upstream's answer to its opening packet, once that has passed.
+  pub sequence: Option<u32>,
   /// How far it is.
   pub state: State,
   /// Since when a request waits for its answer.
@@ -25,6 +30,50 @@
 }
 
 impl Held {
+  /// Whether a caller that acknowledges so much has opened the flow, as far as the answer to its
+  /// opening packet tells.
+  pub fn is_answered(&self, acknowledges: u32) -> bool {
+    self
+      .sequence
+      .is_some_and(|sequence| acknowledges.wrapping_sub(sequence) <= 1)
+  }
+
+  /// Whether the upstream has taken the flow, as far as known.
+  pub fn is_taken(&self) -> bool {
+    self.state == State::Open || (self.state == State::Opening && self.sequence.is_some())
+  }
+
+  /// The upstream answers an opening packet. A late copy of the one that opened the flow is answered
+  /// as that was and leaves the flow open: it would be denied to its caller from then on.
+  pub fn take_answer(&mut self, sequence: u32) {
+    let known = self.sequence.is_none_or(|known| known == sequence);
+    if self.state == State::Open && known {
+      return;
+    }
+    self.sequence = Some(sequence);
+    self.state = State::Opening;
+  }
+
+  /// What the next run is told of the flow; nothing where the upstream has not taken it.
+  pub fn passed(&self, flow: Flow) -> Option<Passed> {
+    self.is_taken().then_some(Passed {
+      flow,
+      open: self.state == State::Open,
+      sequence: self.sequence,
+    })
+  }
+
+  /// The run before had the flow. An opening packet that has come since, late, does not hide that.
+  pub fn take_passed(&mut self, passed: &Passed) {
+    if self.state != State::Opening {
+      return;
+    }
+    self.sequence = self.sequence.or(passed.sequence);
+    if passed.open {
+      self.state = State::Open;
+    }
+  }
+
   /// Data of the caller passed; false for what was sent again.
   pub fn take_data(&mut self, now: Instant, sequence: u32) -> bool {
     let newer = |(_, known): (_, u32)| sequence.wrapping_sub(known).cast_signed() > 0;
@@ -45,6 +94,7 @@
       newest: None,
       opened: None,
       seen: now,
+      sequence: None,
       state,
       waits: None,
     }
@@ -54,8 +104,8 @@
 /// How far a flow is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum State {
-  /// The upstream was given the opening packet; with the sequence number of its answer.
-  Opening(Option<u32>),
+  /// The upstream was given the opening packet, and no packet of the caller has opened it yet.
+  Opening,
   /// The upstream has it.
   Open,
   /// The upstream sent a packet of it back: it is not there.
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -12,6 +12,7 @@
       Change, Codec, Flow, Frame, Handover, Head, Load, News, Origin, Outbox, Patience, Settings,
       Spread, Tuning, Upstream, Version, event,
       frame::{Purpose, Role},
+      handover::Passed,
     },
   },
   serde_json::json,
@@ -148,8 +149,12 @@
         };
         self.carry(now, &carried, service, out)
       }
-      Frame::Held { flows, part, parts } => {
-        self.reminded(now, from, flows, part, parts);
+      Frame::Handover { flows, part, parts } => {
+        self.handed(now, from, flows, part, parts);
+        Ok(())
+      }
+      Frame::Held { flows } => {
+        self.reminded(now, from, &flows);
         Ok(())
       }
       Frame::News(news) => {
@@ -169,38 +174,56 @@
     self.changed(&change);
   }
 
-  /// A balancer says which flows this agent had before it started again.
-  pub(super) fn reminded(
+  /// A balancer says which flows this agent had before it started again, as far as it knows.
+  fn reminded(&mut self, now: Instant, from: SocketAddrV4, flows: &[Flow]) {
+    for flow in flows {
+      let before = Held::new(now, State::Open, Some(from));
+      self.flows.entry(*flow).or_insert(before);
+    }
+  }
+
+  /// A balancer hands on which flows the run before had.
+  fn handed(
     &mut self,
     now: Instant,
     from: SocketAddrV4,
-    flows: Vec<Flow>,
+    flows: Vec<Passed>,
     part: u16,
     parts: u16,
   ) {
-    for flow in &flows {
-      let before = Held::new(now, State::Open, Some(from));
-      self.flows.entry(*flow).or_insert(before);
+    for passed in &flows {
+      let fresh = || Held::new(now, State::Opening, Some(from));
+      let entry = self.flows.entry(passed.flow).or_insert_with(fresh);
+      entry.take_passed(passed);
     }
-    if now < self.forgetful_until && self.handed.take(part, parts, flows) {
+    if now < self.forgetful_until && self.handed.take(now, part, parts, flows) {
       log::info!(from:% = from, flows = self.flows.len(); "agent: all flows are known again.");
       self.forgetful_until = now;
     }
   }
 
-  /// Hands the flows to balancers, for the next run, and takes no new ones.
-  pub(super) fn hand_over(&mut self, now: Instant, out: &mut Outbox) {
+  /// Takes no new flows; those that are here go on until the end.
+  fn stopped(&mut self, now: Instant) {
     self.spread.stop(now);
     self.leaving = true;
     self.stopping = true;
-    if now < self.forgetful_until {
-      return;
-    }
+  }
+
+  /// Hands the flows to balancers, for the next run. Nothing passes after this: a flow that were
+  /// opened later would be missing from the list, and the next run would deny it.
+  fn hand_over(&mut self, now: Instant, out: &mut Outbox) {
     let held = self.flows.iter();
-    let held = held.filter(|(_, entry)| entry.state == State::Open);
-    let handover = held.map(|(flow, _)| *flow).collect::<Handover>();
-    for balancer in self.spread.balancers(now) {
-      handover.send(balancer, out);
+    let passed = held.filter_map(|(flow, entry)| entry.passed(*flow));
+    let handover = Handover::new(passed.collect());
+    let tested = |entry: &Held| matches!(entry.state, State::Tested { .. });
+    let whole = now >= self.forgetful_until && !self.flows.values().any(tested);
+    let balancers = self.spread.balancers(now);
+    log::info!(
+      flows = self.flows.len(), whole = whole, balancers = balancers.len();
+      "agent: flows are handed over."
+    );
+    for balancer in balancers {
+      handover.send(now, whole, balancer, out);
     }
   }
 
@@ -325,6 +348,10 @@
     })
   }
 
+  fn end(&mut self, now: Instant, out: &mut Outbox) {
+    self.hand_over(now, out);
+  }
+
   fn frame(
     &mut self,
     now: Instant,
@@ -351,8 +378,8 @@
     &mut self.spread
   }
 
-  fn stop(&mut self, now: Instant, out: &mut Outbox) {
-    self.hand_over(now, out);
+  fn stop(&mut self, now: Instant, _: &mut Outbox) {
+    self.stopped(now);
   }
 
   fn tick(&mut self, now: Instant, out: &mut Outbox) {
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -53,8 +53,8 @@
   pub(super) counter: Arc<Counter>,
   pub(super) expired: Instant,
   pub(super) flows: HashMap<Flow, Place>,
-  /// What agents that stopped had, and when they said so.
-  pub(super) handed: HashMap<SocketAddrV4, (Instant, Handover)>,
+  /// What agents that stopped had, by their last word.
+  pub(super) handed: HashMap<SocketAddrV4, Handover>,
   /// How many bytes of packets wait for their flows to be found.
   pub(super) held_bytes: usize,
   /// The lowest priority of each service's routes; 0 is the highest.
@@ -223,16 +223,14 @@
     let (frame, packet) = Frame::decode(bytes)?;
     match frame {
       Frame::Absent { flows, known } => self.absent(now, from, &flows, &known, packet, out),
-      Frame::Ask { .. } | Frame::Backlog { .. } | Frame::Carry { .. } => {
+      Frame::Ask { .. } | Frame::Backlog { .. } | Frame::Carry { .. } | Frame::Held { .. } => {
         return Err(Code::FrameWrongTarget);
       }
       Frame::Found(flow) => self.found(now, from, flow, out),
       Frame::Grant(load) => self.granted(now, from, load, out),
-      Frame::Held { flows, part, parts } => {
-        let fresh = || (now, Handover::default());
-        let (at, handed) = self.handed.entry(from).or_insert_with(fresh);
-        *at = now;
-        handed.take(part, parts, flows);
+      Frame::Handover { flows, part, parts } => {
+        let handed = self.handed.entry(from).or_default();
+        handed.take(now, part, parts, flows);
       }
       Frame::News(news) => self.take_news(now, Origin::Peer(from), news, out),
       Frame::Opened(flow, load) => self.opened(now, from, flow, load),
@@ -258,7 +256,7 @@
     };
     let run = self.targets.status(now, from, status, load);
     if run == Run::Next {
-      self.remind(from, out);
+      self.remind(now, from, out);
     }
     if run != Run::Known {
       self.ask_new(now, from);
@@ -267,7 +265,7 @@
 
   /// An agent has started again: it is told which flows it had, by its own last word and as far
   /// as known here.
-  pub(super) fn remind(&mut self, agent: SocketAddrV4, out: &mut Outbox) {
+  pub(super) fn remind(&mut self, now: Instant, agent: SocketAddrV4, out: &mut Outbox) {
     let there = self.flows.iter().filter(|(_, place)| place.is_at(agent));
     let mut known = there.map(|(flow, _)| *flow).collect::<Vec<_>>();
     // In one order, so that a run can be played again.
@@ -275,19 +273,17 @@
     let handed = self.handed.remove(&agent);
     log::info!(
       agent:% = agent, flows = known.len(),
-      whole = handed.as_ref().is_some_and(|(_, handed)| handed.is_whole());
+      whole = handed.as_ref().is_some_and(|handed| handed.is_whole_at(now));
       "balancer: agent has started again."
     );
     for part in known.chunks(HELD_MAX) {
       let frame = Frame::Held {
         flows: part.to_vec(),
-        part: 0,
-        parts: 0,
       };
       out.frame(agent, &frame, &[]);
     }
-    if let Some((_, handed)) = handed {
-      handed.send(agent, out);
+    if let Some(handed) = handed {
+      handed.send(now, true, agent, out);
     }
   }
 
@@ -369,10 +365,9 @@
       };
       now.saturating_duration_since(place.seen) < kept
     });
-    self.handed.retain(|_, (at, _)| {
-      let age = now.saturating_duration_since(*at);
-      age < HANDED_KEPT
-    });
+    self
+      .handed
+      .retain(|_, handed| handed.age(now) < HANDED_KEPT);
     self.spread.expire(now);
     self.targets.expire(now);
     self.targets.update(self.spread.catalog());
@@ -398,6 +393,8 @@
     })
   }
 
+  fn end(&mut self, _: Instant, _: &mut Outbox) {}
+
   fn frame(
     &mut self,
     now: Instant,
--- a/src/datagram/event.rs
+++ b/src/datagram/event.rs
@@ -16,6 +16,8 @@
 /// What a machine is told.
 #[derive(Debug)]
 pub enum Event<'a> {
+  /// The process ends: nothing is taken after this, and what is sent now is its last word.
+  End,
   /// A frame came from another process.
   Frame {
     /// Who sent it.
@@ -40,6 +42,10 @@
   /// Takes an event and puts what is to be sent into `out`. What cannot be taken is counted.
   fn step(&mut self, now: Instant, event: Event, out: &mut Outbox) {
     let taken = match event {
+      Event::End => {
+        self.end(now, out);
+        Ok(())
+      }
       Event::Frame { from, bytes } => self.frame(now, from, bytes, out),
       Event::News(origin, news) => {
         self.news(now, origin, news, out);
@@ -73,6 +79,9 @@
   /// What it knows and remembers, for an operator.
   fn dump(&self, now: Instant) -> serde_json::Value;
 
+  /// The process ends, after it was told to stop.
+  fn end(&mut self, now: Instant, out: &mut Outbox);
+
   /// A frame came from another process.
   fn frame(
     &mut self,
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Flow, Load, News, Version},
+  super::{Flow, Load, News, Version, handover::Passed},
   crate::{Code, Revision},
   serde::{Deserialize, Serialize},
   std::net::SocketAddrV4,
@@ -112,14 +112,10 @@
   },
   /// The agent has the flow.
   Found(Flow),
-  /// Flows of an agent: from itself when it stops, or to it when it has started again.
+  /// Flows that a balancer knows to be at an agent, which has started again.
   Held {
     /// The flows.
     flows: Vec<Flow>,
-    /// Which part this is, from 0 on.
-    part: u16,
-    /// How many parts name all flows; 0 where they name only those that the sender knows of.
-    parts: u16,
   },
   /// What changed on the platform.
   News(News),
@@ -141,6 +137,15 @@
   },
   /// The agent keeps a place for one of the balancer's flows that wait.
   Grant(Load),
+  /// Flows of an agent: from itself with its last word, and on to its next run.
+  Handover {
+    /// The flows.
+    flows: Vec<Passed>,
+    /// Which part this is, from 0 on.
+    part: u16,
+    /// How many parts name all flows; 0 where there may be more than are named.
+    parts: u16,
+  },
 }
 
 impl Frame {
--- a/src/datagram/node/carrier.rs
+++ b/src/datagram/node/carrier.rs
@@ -245,7 +245,13 @@
           let _ = asker.send(self.machine.dump(now));
           continue;
         }
-        Message::End => return true,
+        Message::End(done) => {
+          self.machine.step(now, Event::End, &mut self.out);
+          self.flush();
+          // Whoever waits may have given up.
+          let _ = done.send(());
+          return true;
+        }
         Message::News(origin, news) => Event::News(origin, news),
         Message::Seeds(seeds) => {
           self.machine.reseed(now, &seeds);
--- a/src/datagram/node/run.rs
+++ b/src/datagram/node/run.rs
@@ -31,6 +31,9 @@
 /// How long a stopping agent goes on, so that what it has just said is sent.
 const FAREWELL: Duration = Duration::from_millis(20);
 
+/// How long the packet thread may take for its last word: far more than all flows of a target need.
+const LAST_WORD: Duration = Duration::from_secs(1);
+
 /// What a role is run with.
 struct Part<M, R> {
   counter: Arc<Counter>,
@@ -118,7 +121,11 @@
   shared.stopping.store(true, Ordering::Relaxed);
   shared.tell(Message::Stop);
   thread::sleep(part.farewell);
-  shared.tell(Message::End);
+  let (done, ended) = channel::bounded(1);
+  shared.tell(Message::End(done));
+  if ended.recv_timeout(LAST_WORD).is_err() {
+    log::warn!("node: last word was not sent in time.");
+  }
   logging::flush();
   Ok(())
 }
--- a/src/datagram/node/shared.rs
+++ b/src/datagram/node/shared.rs
@@ -20,8 +20,8 @@
 pub enum Message {
   /// Somebody wants to know the state.
   Dump(oneshot::Sender<serde_json::Value>),
-  /// The carrier is to end.
-  End,
+  /// The carrier is to end, and to say when its last word is sent.
+  End(Sender<()>),
   /// News from the platform or a peer.
   News(Origin, News),
   /// The settings name other seeds.
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -300,22 +300,107 @@
   assert!((25..35).contains(&refused), "refused {refused} of 40");
 }
 
-#[test]
-fn flows_are_handed_over_a_planned_restart() {
-  let (mut before, flow) = with_flow(true);
-  let parts = before
-    .step(Event::Stop)
-    .into_iter()
-    .filter_map(|sent| match sent {
-      Sent::Frame(_, frame @ Frame::Held { .. }, _) => Some(frame),
-      _ => None,
-    })
-    .collect::<Vec<_>>();
+/// Stops an agent as planned and starts its next run, which hears what the one before had.
+fn restarted(before: &mut Agent) -> Agent {
+  before.step(Event::Stop);
+  let last_word = before.step(Event::End);
+  let parts = last_word.into_iter().filter_map(|sent| match sent {
+    Sent::Frame(_, frame @ Frame::Handover { .. }, _) => Some(frame),
+    _ => None,
+  });
+  let parts = parts.collect::<Vec<_>>();
   assert!(!parts.is_empty());
   let mut next = Stepped::agent(9, "a", false);
   for part in &parts {
     next.frame(BALANCER, part, &[]);
   }
+  next
+}
+
+#[test]
+fn a_flow_that_opens_after_its_agent_was_told_to_stop_is_handed_over() {
+  let (mut before, _) = with_flow(true);
+  let late = crate::support::flow(40_002, 1);
+  deliver(&mut before, Purpose::Open, Packet::open(late, 0));
+  before.packet(answer(late, 300));
+  before.step(Event::Stop);
+  deliver(&mut before, Purpose::Deliver, Packet::data(late, 2, 301));
+  let mut next = restarted(&mut before);
+  let packet = Packet::data(late, 3, 311);
+  let sent = deliver(&mut next, Purpose::Deliver, packet);
+  assert_eq!(sent, [Sent::Upstream(packet)]);
+}
+
+#[test]
+fn a_flow_whose_answer_passed_last_is_handed_over_and_opens_at_the_next_run() {
+  let (mut before, _) = with_flow(true);
+  let half = crate::support::flow(40_002, 1);
+  deliver(&mut before, Purpose::Open, Packet::open(half, 0));
+  before.packet(answer(half, 300));
+  let mut next = restarted(&mut before);
+  let elsewhere = deliver(&mut next, Purpose::Deliver, Packet::data(half, 2, 777));
+  assert!(is_told(&elsewhere, &absent(half, NOTHING)), "{elsewhere:?}");
+  let packet = Packet::data(half, 2, 301);
+  let sent = deliver(&mut next, Purpose::Deliver, packet);
+  assert_eq!(sent, [Sent::Upstream(packet)]);
+}
+
+#[test]
+fn a_late_opening_packet_does_not_hide_a_flow_that_was_handed_over() {
+  let (mut before, flow) = with_flow(true);
+  before.step(Event::Stop);
+  let last_word = before.step(Event::End);
+  let mut next = Stepped::agent(9, "a", false);
+  deliver(&mut next, Purpose::Open, Packet::open(flow, 1));
+  for sent in last_word {
+    if let Sent::Frame(_, frame @ Frame::Handover { .. }, _) = sent {
+      next.frame(BALANCER, &frame, &[]);
+    }
+  }
+  let packet = Packet::data(flow, 3, 111);
+  let sent = deliver(&mut next, Purpose::Deliver, packet);
+  assert_eq!(sent, [Sent::Upstream(packet)]);
+}
+
+#[test]
+fn an_agent_that_does_not_know_all_flows_hands_over_no_whole_list() {
+  let (mut before, flow) = with_flow(false);
+  let mut next = restarted(&mut before);
+  let packet = Packet::data(flow, 3, 111);
+  let sent = deliver(&mut next, Purpose::Deliver, packet);
+  assert_eq!(sent, [Sent::Upstream(packet)]);
+  let other = crate::support::flow(40_002, 1);
+  let sent = ask(&mut next, &[other], 6, "a");
+  assert!(is_told(&sent, &Frame::Unsure(vec![other])), "{sent:?}");
+}
+
+#[test]
+fn a_late_copy_of_an_opening_packet_leaves_its_flow_open() {
+  let (mut agent, flow) = with_flow(true);
+  deliver(&mut agent, Purpose::Open, Packet::open(flow, 2));
+  agent.packet(answer(flow, 100));
+  // Its caller has had an answer since, and acknowledges more.
+  let packet = Packet::data(flow, 3, 111);
+  let sent = deliver(&mut agent, Purpose::Deliver, packet);
+  assert_eq!(sent, [Sent::Upstream(packet)]);
+}
+
+#[test]
+fn a_late_copy_that_the_upstream_does_not_take_leaves_its_flow_open() {
+  let (mut agent, flow) = with_flow(true);
+  deliver(&mut agent, Purpose::Open, Packet::open(flow, 2));
+  let sent = agent.packet(returned(Packet::open(flow, 2)));
+  let refused = |sent: &Sent| matches!(sent, Sent::Frame(_, Frame::Refused(..), _));
+  assert!(!sent.iter().any(refused), "{sent:?}");
+  let packet = Packet::data(flow, 3, 111);
+  let sent = deliver(&mut agent, Purpose::Deliver, packet);
+  assert_eq!(sent, [Sent::Upstream(packet)]);
+}
+
+#[test]
+fn flows_are_handed_over_a_planned_restart() {
+  let (mut before, flow) = with_flow(true);
+  let mut next = restarted(&mut before);
   let packet = Packet::data(flow, 3, 101);
   let sent = deliver(&mut next, Purpose::Test, packet);
   assert!(is_told(&sent, &Frame::Found(flow)), "{sent:?}");
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -13,6 +13,7 @@
     datagram::{
       Frame, Load, Machine,
       frame::{Known, Purpose, Refusal},
+      handover::Passed,
     },
   },
   std::time::Duration,
@@ -329,38 +330,85 @@
   let sent = tell(&mut balancer, 11, 2, Load::default());
   assert_matches!(
     &sent[..],
-    [Sent::Frame(to, Frame::Held { flows, parts: 0, .. }, _)]
+    [Sent::Frame(to, Frame::Held { flows }, _)]
       if *to == peer(11) && flows[..] == [flow(1, 1)]
   );
 }
 
+fn passed(port: u16) -> Passed {
+  Passed {
+    flow: flow(port, 1),
+    open: true,
+    sequence: Some(7),
+  }
+}
+
+#[test]
+fn a_handover_that_another_run_may_have_followed_does_not_count_as_whole() {
+  let mut balancer = balancer();
+  let frame = Frame::Handover {
+    flows: vec![passed(1)],
+    part: 0,
+    parts: 1,
+  };
+  balancer.frame(11, &frame, &[]);
+  balancer.pass(Duration::from_secs(6));
+  let sent = tell(&mut balancer, 11, 2, Load::default());
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(_, Frame::Handover { parts: 0, .. }, _)]
+  );
+}
+
+#[test]
+fn a_handover_is_not_made_whole_by_parts_of_an_earlier_one() {
+  let mut balancer = balancer();
+  for part in [0, 1] {
+    let frame = Frame::Handover {
+      flows: vec![passed(part)],
+      part,
+      parts: 2,
+    };
+    balancer.frame(11, &frame, &[]);
+    balancer.pass(Duration::from_secs(2));
+  }
+  let sent = tell(&mut balancer, 11, 2, Load::default());
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(_, Frame::Handover { parts: 0, .. }, _)]
+  );
+}
+
 #[test]
 fn a_handover_goes_back_to_the_next_run_whole() {
   let mut balancer = balancer();
   for part in [1, 0] {
-    let frame = Frame::Held {
-      flows: vec![flow(part, 1)],
+    let frame = Frame::Handover {
+      flows: vec![passed(part)],
       part,
       parts: 2,
     };
     balancer.frame(11, &frame, &[]);
   }
   let sent = tell(&mut balancer, 11, 2, Load::default());
-  let whole = |sent: &&Sent| matches!(sent, Sent::Frame(_, Frame::Held { parts: 2, .. }, _));
+  let whole = |sent: &&Sent| matches!(sent, Sent::Frame(_, Frame::Handover { parts: 2, .. }, _));
   assert_eq!(sent.iter().filter(whole).count(), 2, "{sent:?}");
 }
 
 #[test]
 fn a_handover_with_a_part_lost_does_not_count_as_whole() {
   let mut balancer = balancer();
-  let frame = Frame::Held {
-    flows: vec![flow(1, 1)],
+  let frame = Frame::Handover {
+    flows: vec![passed(1)],
     part: 0,
     parts: 2,
   };
   balancer.frame(11, &frame, &[]);
   let sent = tell(&mut balancer, 11, 2, Load::default());
-  assert_matches!(&sent[..], [Sent::Frame(_, Frame::Held { parts: 0, .. }, _)]);
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(_, Frame::Handover { parts: 0, .. }, _)]
+  );
 }
 
 #[test]
--- a/tests/datagram/random_run.rs
+++ b/tests/datagram/random_run.rs
@@ -11,7 +11,14 @@
 const B: std::ops::Range<u8> = 21..23;
 
 fn world(seed: u64) -> World {
-  let mut world = World::new(seed);
+  started(World::new(seed))
+}
+
+fn bootstrapped(seed: u64) -> World {
+  started(World::bootstrapped(seed))
+}
+
+fn started(mut world: World) -> World {
   world.configure(&[(1, "a"), (2, "b")]);
   for host in A {
     world.start_target(host, "a");
@@ -104,7 +111,10 @@
 }
 
 fn play(seed: u64) {
-  let mut world = world(seed);
+  play_in(world(seed), seed);
+}
+
+fn play_in(mut world: World, seed: u64) {
   for _ in 0..40 {
     for _ in 0..4 {
       let route = world.rng.random_range(1..3);
@@ -157,6 +167,30 @@
   assert_eq!(world.ended, (60, 0));
 }
 
+#[test]
+fn flows_that_open_while_their_agent_stops_outlive_its_restart() {
+  for seed in 0..20 {
+    let mut world = bootstrapped(seed);
+    for host in world.targets() {
+      for number in 0..40 {
+        world.call(1 + number % 2, 60);
+        world.run(1);
+      }
+      world.stop(host);
+      for balancer in 1..=2 {
+        // Who knew where the flows are is gone, and the third has the list.
+        world.stop(balancer);
+        world.start_balancer(balancer);
+      }
+      world.run(200);
+      world.start_agent(host);
+      world.run(800);
+    }
+    world.run(8000);
+    assert_eq!(world.ended, (240, 0), "seed {seed}");
+  }
+}
+
 #[test]
 fn all_balancers_come_back_while_the_store_is_away() {
   let mut world = world(3);
@@ -232,6 +266,13 @@
   }
 }
 
+#[test]
+fn promises_hold_under_faults_where_agents_know_all_flows() {
+  for seed in 0..96 {
+    play_in(bootstrapped(seed), seed);
+  }
+}
+
 /// Demand beyond what targets can take, and then all machines without power, often with the store
 /// away; frames are lost, and come twice and late, those of a former run too.
 fn play_power(seed: u64) {
@@ -289,6 +330,7 @@
     let seed = seed.unwrap_or_else(rand::random);
     println!("seed {seed}");
     play(seed);
+    play_in(bootstrapped(seed), seed);
     play_power(seed);
   }
 }
--- a/tests/datagram/world.rs
+++ b/tests/datagram/world.rs
@@ -31,6 +31,9 @@
 /// How often one asks whether a balancer is to read, in milliseconds.
 const READ: u64 = 200;
 
+/// How long a process goes on after it was told to stop, in milliseconds.
+const FAREWELL: u64 = 20;
+
 /// The tries of a caller for one packet, and the wait between two, in milliseconds.
 const TRIES: (u32, u64) = (12, 200);
 
@@ -77,8 +80,12 @@
   asked: HashMap<Flow, Asked>,
   base: Instant,
   beside: BTreeMap<u8, Beside>,
+  /// Whether the world's first moment is the system's first start.
+  bootstraps: bool,
   /// How many flows came to their end, and how many were told that they are gone.
   pub ended: (usize, usize),
+  /// How long a process goes on after it was told to stop, in milliseconds.
+  farewell: u64,
   items: HashMap<u64, Item>,
   last_fault: u64,
   loss: f64,
@@ -110,7 +117,9 @@
       asked: HashMap::new(),
       base: Instant::now(),
       beside: BTreeMap::new(),
+      bootstraps: false,
       ended: (0, 0),
+      farewell: 0,
       items: HashMap::new(),
       last_fault: 0,
       loss: 0.0,
@@ -136,6 +145,16 @@
     world
   }
 
+  /// A world that begins with the system's first start, so that its agents know all flows, and
+  /// where processes that are told to stop go on for a little.
+  pub fn bootstrapped(seed: u64) -> Self {
+    Self {
+      bootstraps: true,
+      farewell: FAREWELL,
+      ..Self::new(seed)
+    }
+  }
+
   /// Starts a balancer that knows nothing.
   pub fn start_balancer(&mut self, host: u8) {
     self.fault();
@@ -157,6 +176,8 @@
     self.fault();
     self.starts += 1;
     let settings = Settings {
+      // Nothing ran before the world's first moment, so that these agents know all flows.
+      first_start: self.bootstraps && self.now == 0,
       seeds: (1..=3).map(peer).collect(),
       ..settings(host)
     };
@@ -234,9 +255,11 @@
     self.nodes.remove(&host);
   }
 
-  /// A process is told to stop, and is gone at once; what it says is delivered.
+  /// A process is told to stop, goes on for a little, and is gone; what it says is delivered.
   pub fn stop(&mut self, host: u8) {
     self.step(host, Event::Stop);
+    self.run(self.farewell);
+    self.step(host, Event::End);
     self.nodes.remove(&host);
   }
 
