Reset no flow before the peers have told which targets left the list

Ruled out: waiting 1.5 s, which costs the callers of dead flows their time to try again and does not name the target's service.

Change: a balancer asks each balancer that it hears of what left (AskPast, Past), and resets nothing before all have answered that are there; who knows no more says so, so that balancers that start together wait for each other only. Targets it is told of are asked, and lost only after 1.5 s without a word of them. A question is no longer put twice into one frame.

--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -1,6 +1,7 @@
 use {
   super::{
     announced::Announced,
+    history::History,
     parking::Parking,
     place::{Place, State},
     questions::Questions,
@@ -13,7 +14,7 @@
     datagram::{
       Codec, Flow, Frame, Handover, Head, News, Origin, Outbox, Patience, Service, Settings,
       Spread, Tuning, Via, event,
-      frame::{Purpose, Role, Status},
+      frame::{PAST_MAX, Purpose, Role, Status},
     },
   },
   serde_json::json,
@@ -55,6 +56,7 @@
   pub(super) flows: HashMap<Flow, Place>,
   /// What agents that stopped had, by their last word.
   pub(super) handed: HashMap<SocketAddrV4, Handover>,
+  pub(super) history: History,
   /// How many bytes of packets wait for their flows to be found.
   pub(super) held_bytes: usize,
   /// The lowest priority of each service's routes; 0 is the highest.
@@ -95,6 +97,7 @@
       expired: now,
       flows: HashMap::new(),
       handed: HashMap::new(),
+      history: History::new(now, settings.first_start),
       held_bytes: 0,
       lowest: HashMap::new(),
       openings: BTreeSet::new(),
@@ -222,6 +225,7 @@
     self.wake(now);
     let (frame, packet) = Frame::decode(bytes)?;
     match frame {
+      Frame::AskPast => self.tell_past(now, from, out),
       Frame::Absent { flows, known } => self.absent(now, from, &flows, &known, packet, out),
       Frame::Ask { .. } | Frame::Backlog { .. } | Frame::Carry { .. } | Frame::Held { .. } => {
         return Err(Code::FrameWrongTarget);
@@ -232,6 +236,15 @@
         let handed = self.handed.entry(from).or_default();
         handed.take(now, part, parts, flows);
       }
+      Frame::Past {
+        known,
+        part,
+        parts,
+        past,
+      } => {
+        self.targets.remember(now, &past);
+        self.history.take(now, from, part, parts, known);
+      }
       Frame::News(news) => self.take_news(now, Origin::Peer(from), news, out),
       Frame::Opened(flow, load) => self.opened(now, from, flow, load),
       Frame::Refused(flow, refusal, load) => {
@@ -252,6 +265,9 @@
   ) {
     self.spread.status(now, from, status);
     let Role::Agent(load) = status.role else {
+      if self.history.asks(now, from) {
+        out.frame(from, &Frame::AskPast, &[]);
+      }
       return;
     };
     let run = self.targets.status(now, from, status, load);
@@ -263,6 +279,23 @@
     }
   }
 
+  /// Tells a balancer that has just started which targets have left the list.
+  fn tell_past(&self, now: Instant, to: SocketAddrV4, out: &mut Outbox) {
+    let past = self.targets.past(now, self.spread.catalog());
+    let known = self.history.is_known();
+    let parts = past.len().div_ceil(PAST_MAX).max(1);
+    for part in 0..parts {
+      let named = past.iter().skip(part * PAST_MAX).take(PAST_MAX);
+      let frame = Frame::Past {
+        known,
+        part: part as u16,
+        parts: parts as u16,
+        past: named.cloned().collect(),
+      };
+      out.frame(to, &frame, &[]);
+    }
+  }
+
   /// An agent has started again: it is told which flows it had, by its own last word and as far
   /// as known here.
   pub(super) fn remind(&mut self, now: Instant, agent: SocketAddrV4, out: &mut Outbox) {
@@ -369,6 +402,7 @@
       .handed
       .retain(|_, handed| handed.age(now) < HANDED_KEPT);
     self.spread.expire(now);
+    self.history.expire(now, self.tuning.amnesia);
     self.targets.expire(now);
     self.targets.update(self.spread.catalog());
   }
--- a/src/datagram/balancer/questions.rs
+++ b/src/datagram/balancer/questions.rs
@@ -44,7 +44,9 @@
   ) {
     self.allowed = self.allowed.max(now);
     let flows = self.pending.entry((agent, service)).or_default();
-    flows.push((flow, acknowledges));
+    if flows.last() != Some(&(flow, acknowledges)) {
+      flows.push((flow, acknowledges));
+    }
   }
 
   /// When they are to be sent; none where there are none.
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -130,7 +130,8 @@
     // Whoever has become known since is asked too.
     let (new, acknowledges) = (search.extend(holders), search.acknowledges);
     let known = self.spread.catalog().complete() >= search.needs;
-    if !search.waiting.is_empty() || !known {
+    let told = self.history.is_told(self.spread.present(now));
+    if !search.waiting.is_empty() || !known || !told {
       self.ask(now, flow, acknowledges, &new);
       return;
     }
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -1,7 +1,10 @@
 use {
   crate::{
     config::Presence,
-    datagram::{Agents, Catalog, Entry, Load, Service, Tuning, frame::Status},
+    datagram::{
+      Agents, Catalog, Entry, Load, Service, Tuning,
+      frame::{Gone, Status},
+    },
   },
   serde_json::json,
   std::{
@@ -76,14 +79,25 @@
   Next,
 }
 
+/// A target that left the list before this process knew it.
+#[derive(Clone, Debug)]
+struct Past {
+  gone: Instant,
+  /// When its agent was last heard of.
+  heard: Option<Instant>,
+  /// When this process was told of it.
+  learnt: Instant,
+  service: Service,
+}
+
 /// The targets that a balancer knows.
 #[derive(Debug)]
 pub struct Targets {
   pub(super) by_agent: BTreeMap<SocketAddrV4, Seen>,
   pub(super) data_centre: String,
   port: u16,
-  /// Targets that left the list before this process knew them, by what agents say, and when.
-  past: BTreeMap<SocketAddrV4, (Service, Instant)>,
+  /// Targets that left the list before this process knew them, by what agents and peers say.
+  past: BTreeMap<SocketAddrV4, Past>,
   pub(super) services: BTreeMap<Service, Vec<SocketAddrV4>>,
   started: Instant,
   pub(super) tuning: Tuning,
@@ -151,7 +165,10 @@
     let long = |gone: Instant| now.saturating_duration_since(gone) >= LAPSED;
     match (self.by_agent.get(&agent), self.past.get(&agent)) {
       (Some(seen), _) => seen.gone.is_some_and(long) && !self.is_heard(now, seen),
-      (None, Some((_, gone))) => long(*gone),
+      (None, Some(past)) => {
+        let last = past.heard.unwrap_or(past.learnt);
+        long(past.gone) && now.saturating_duration_since(last) >= self.tuning.silent
+      }
       (None, None) => true,
     }
   }
@@ -167,14 +184,43 @@
       }
       let gone = now.checked_sub(Duration::from_millis((*age_ms).into()));
       agents.push(agent);
-      self
-        .past
-        .insert(agent, (service.clone(), gone.unwrap_or(now)));
+      let past = Past {
+        gone: gone.unwrap_or(now),
+        heard: None,
+        learnt: now,
+        service: service.clone(),
+      };
+      self.past.insert(agent, past);
       learnt = true;
     }
     learnt
   }
 
+  /// A peer says which targets left the list.
+  pub fn remember(&mut self, now: Instant, past: &[Gone]) {
+    for gone in past {
+      self.learn(now, &gone.service, &[(gone.address, gone.age_ms)]);
+    }
+  }
+
+  /// The targets that left the list in the lifetime of the flows, as far as known.
+  pub fn past(&self, now: Instant, catalog: &Catalog) -> Vec<Gone> {
+    let left = catalog.entries().filter_map(|(_, entry)| {
+      Some(Gone {
+        address: entry.target.address,
+        age_ms: age_ms(now, entry.gone?),
+        service: entry.target.service.clone(),
+      })
+    });
+    let told = self.past.iter().map(|(agent, past)| Gone {
+      // Where its agent listens is all that counts.
+      address: *agent,
+      age_ms: age_ms(now, past.gone),
+      service: past.service.clone(),
+    });
+    left.chain(told).collect()
+  }
+
   /// A frame with the load of a target came.
   pub fn loaded(&mut self, now: Instant, agent: SocketAddrV4, load: Load) {
     if let Some(seen) = self.by_agent.get_mut(&agent) {
@@ -201,6 +247,9 @@
   /// An agent told of itself; what that shows of its run.
   pub fn status(&mut self, now: Instant, agent: SocketAddrV4, status: &Status, load: Load) -> Run {
     let Some(seen) = self.by_agent.get_mut(&agent) else {
+      if let Some(past) = self.past.get_mut(&agent) {
+        past.heard = Some(now);
+      }
       return Run::Known;
     };
     let before = seen.incarnation.replace(status.incarnation);
@@ -250,7 +299,7 @@
     let life = self.tuning.amnesia;
     self
       .past
-      .retain(|_, (_, gone)| now.saturating_duration_since(*gone) < life);
+      .retain(|_, past| now.saturating_duration_since(past.gone) < life);
   }
 
   /// Takes the list as it is now.
@@ -271,8 +320,8 @@
         *held = entry;
       }
     }
-    for (agent, (service, _)) in &self.past {
-      let agents = self.services.entry(service.clone()).or_default();
+    for (agent, past) in &self.past {
+      let agents = self.services.entry(past.service.clone()).or_default();
       if !agents.contains(agent) {
         agents.push(*agent);
       }
@@ -289,3 +338,8 @@
       .is_some_and(|heard| now.saturating_duration_since(heard) < self.tuning.silent)
   }
 }
+
+/// How long ago something was, in milliseconds.
+fn age_ms(now: Instant, at: Instant) -> u32 {
+  now.saturating_duration_since(at).as_millis() as u32
+}
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Flow, Load, News, Version, handover::Passed},
+  super::{Flow, Load, News, Service, Version, handover::Passed},
   crate::{Code, Revision},
   serde::{Deserialize, Serialize},
   std::net::SocketAddrV4,
@@ -11,6 +11,9 @@
 /// The largest frame that is sent with news in it, in bytes: it fits a common datagram.
 pub const NEWS_MAX: usize = 1200;
 
+/// How many targets that left the list one frame names at most: it fits a common datagram.
+pub const PAST_MAX: usize = 24;
+
 /// How many flows a question names at most: it fits a common datagram.
 pub const ASKED_MAX: usize = 48;
 
@@ -36,6 +39,17 @@
   pub past: Vec<(SocketAddrV4, u32)>,
 }
 
+/// A target that has left the list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Gone {
+  /// Where its upstream takes packets.
+  pub address: SocketAddrV4,
+  /// How long ago it left, in milliseconds.
+  pub age_ms: u32,
+  /// The service that it served.
+  pub service: Service,
+}
+
 /// Why an agent did not have a flow opened.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Refusal {
@@ -146,6 +160,19 @@
     /// How many parts name all flows; 0 where there may be more than are named.
     parts: u16,
   },
+  /// Which targets have left the list? A balancer that has just started asks another.
+  AskPast,
+  /// Targets that have left the list, in answer to that.
+  Past {
+    /// Whether the sender knows all that left in the lifetime of the flows.
+    known: bool,
+    /// Which part this is, from 0 on.
+    part: u16,
+    /// How many parts name all that the sender knows of; there is one where it knows of none.
+    parts: u16,
+    /// The targets.
+    past: Vec<Gone>,
+  },
 }
 
 impl Frame {
--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -147,6 +147,19 @@
     live.map(|(address, _)| *address).collect()
   }
 
+  /// The balancers that may be there: those that were heard of lately, and all that are known until
+  /// they have had time to speak.
+  pub fn present(&self, now: Instant) -> impl Iterator<Item = SocketAddrV4> {
+    let silent = self.tuning.silent;
+    let present = move |peer: &Peer| {
+      let last = peer.heard.unwrap_or(peer.since);
+      peer.balancer && now.saturating_duration_since(last) < silent
+    };
+    let peers = self.peers.iter();
+    let peers = peers.filter(move |(_, peer)| present(peer));
+    peers.map(|(address, _)| *address)
+  }
+
   /// When a status is due.
   pub fn deadline(&self) -> Instant {
     self.next
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -3,16 +3,16 @@
 use {
   crate::{
     balancing::{absent, asked, balancer, busy, carried, is_reset, search, tell},
-    plain::Packet,
-    support::{Sent, Stepped, configured, elsewhere, flow, listed, news, peer, unlisted},
+    plain::{Packet, Plain},
+    support::{Sent, Stepped, configured, elsewhere, flow, listed, news, peer, unlisted, upstream},
   },
   assert_matches::assert_matches,
   fallwell::{
     Revision,
     config::Presence,
     datagram::{
-      Frame, Load, Machine,
-      frame::{Known, Purpose, Refusal},
+      Frame, Load, Machine, balancer,
+      frame::{Gone, Known, Purpose, Refusal, Role, Status},
       handover::Passed,
     },
   },
@@ -164,6 +164,92 @@
   );
 }
 
+fn gone(host: u8) -> Gone {
+  Gone {
+    address: upstream(host),
+    age_ms: 20_000,
+    service: "a".parse().expect("a name"),
+  }
+}
+
+/// A balancer's word of itself.
+fn told(balancer: &mut Stepped<balancer::Machine<Plain>>, host: u8) -> Vec<Sent> {
+  let status = Status {
+    balancers: vec![],
+    complete: Revision(4),
+    confirmed_ms: Some(10),
+    data_centre: 0,
+    incarnation: 1,
+    role: Role::Balancer,
+    stopping: false,
+  };
+  balancer.frame(host, &Frame::Status(status), &[])
+}
+
+#[test]
+fn a_balancer_that_has_just_started_asks_its_peers_what_left_before_it_resets() {
+  let mut balancer = balancer();
+  assert_eq!(
+    told(&mut balancer, 2),
+    [Sent::Frame(peer(2), Frame::AskPast, vec![])]
+  );
+  search(&mut balancer);
+  balancer.frame(11, &absent(4), &[]);
+  let sent = balancer.frame(12, &absent(4), &[]);
+  assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+  let past = Frame::Past {
+    known: true,
+    part: 0,
+    parts: 1,
+    past: vec![gone(13)],
+  };
+  balancer.frame(2, &past, &[]);
+  // What was asked again names the one that left.
+  let mut again = Vec::new();
+  for _ in 0..4 {
+    again.extend(asked(&balancer.pass(Duration::from_millis(50))));
+  }
+  assert!(again.contains(&13), "{again:?}");
+  let sent = balancer.frame(13, &absent(4), &[]);
+  assert!(is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+}
+
+#[test]
+fn a_balancer_whose_peers_started_with_it_resets_once_all_have_said_so() {
+  let mut balancer = balancer();
+  told(&mut balancer, 2);
+  told(&mut balancer, 3);
+  let nothing = Frame::Past {
+    known: false,
+    part: 0,
+    parts: 1,
+    past: vec![],
+  };
+  search(&mut balancer);
+  balancer.frame(2, &nothing, &[]);
+  balancer.frame(11, &absent(4), &[]);
+  let sent = balancer.frame(12, &absent(4), &[]);
+  assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+  balancer.frame(3, &nothing, &[]);
+  let mut sent = Vec::new();
+  for _ in 0..4 {
+    sent.extend(balancer.pass(Duration::from_millis(50)));
+  }
+  assert!(is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+}
+
+#[test]
+fn a_balancer_tells_what_left_the_list() {
+  let mut balancer = balancer();
+  balancer.platform(news(Some(4), 5, &[unlisted(5, "up-12")]));
+  let sent = balancer.frame(2, &Frame::AskPast, &[]);
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(to, Frame::Past { known: false, part: 0, parts: 1, past }, _)]
+      if *to == peer(2) && past[0].address == upstream(12)
+  );
+}
+
 #[test]
 fn targets_of_the_own_data_centre_are_asked_first() {
   let mut balancer = balancer();
