Try one packet of a flow at a time while its own agent may be the one that is silent

Change: while anybody who may have the flow is silent, one packet is tried in 2 s, over all searches of the flow. Once all have answered, those that cannot say try together, the flow's own among them.

Before: balancer::one_packet_is_tried_while_an_agent_is_silent_that_may_have_the_flow fails (three tried). After: it holds; an own agent that cannot say is found in one round more.

--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -6,6 +6,7 @@
     place::{Place, State},
     questions::Questions,
     search::Search,
+    searching::TRY_EVERY,
     targets::{Run, Targets},
   },
   crate::{
@@ -73,6 +74,8 @@
   pub(super) searching: BTreeSet<(Instant, Flow)>,
   pub(super) spread: Spread,
   pub(super) targets: Targets,
+  /// When a packet of a flow was last given to an agent to try.
+  pub(super) tried: HashMap<Flow, Instant>,
   pub(super) tuning: Tuning,
   /// Until when opening packets may be older than they seem: the process stood still.
   pub(super) unsure_until: Instant,
@@ -114,6 +117,7 @@
         settings.peers.port(),
         &tuning,
       ),
+      tried: HashMap::new(),
       tuning,
       unsure_until: now,
     }
@@ -398,6 +402,8 @@
       };
       now.saturating_duration_since(place.seen) < kept
     });
+    let recent = |at: &mut Instant| now.saturating_duration_since(*at) < TRY_EVERY;
+    self.tried.retain(|_, at| recent(at));
     self
       .handed
       .retain(|_, handed| handed.age(now) < HANDED_KEPT);
--- a/src/datagram/balancer/search.rs
+++ b/src/datagram/balancer/search.rs
@@ -39,7 +39,9 @@
   tried: Agents,
   /// Who was given it since the last question.
   trying: Agents,
-  /// Who has not answered.
+  /// Who could not say.
+  unsure: Agents,
+  /// Who has not said yes or no.
   pub waiting: Agents,
   /// Whether those of other data centres are asked too.
   pub wide: bool,
@@ -59,6 +61,7 @@
       probe: None,
       tried: Agents::new(),
       trying: Agents::new(),
+      unsure: Agents::new(),
       waiting: Agents::new(),
       wide: false,
     }
@@ -103,12 +106,35 @@
     self.again == 0
   }
 
-  /// The packet that tells an agent whether its upstream has the flow: the smallest. None where
-  /// the agent has said no, or is trying.
-  pub fn probe(&mut self, agent: SocketAddrV4) -> Option<&[u8]> {
-    if !self.waiting.contains(&agent) || self.trying.contains(&agent) {
-      return None;
+  /// An agent cannot say whether it has the flow without a packet of it to try.
+  pub fn is_unsure(&mut self, agent: SocketAddrV4) {
+    if self.waiting.contains(&agent) && !self.unsure.contains(&agent) {
+      self.unsure.push(agent);
     }
+  }
+
+  /// Whether some that may have the flow have not said anything.
+  pub fn has_silent(&self) -> bool {
+    !self.wide || self.has_silent_asked()
+  }
+
+  /// Whether some of those that were asked have not said anything.
+  pub fn has_silent_asked(&self) -> bool {
+    let mut waiting = self.waiting.iter();
+    waiting.any(|agent| !self.unsure.contains(agent))
+  }
+
+  /// Who may be given a packet to try.
+  pub fn to_try(&self) -> Agents {
+    let waiting = self.waiting.iter().copied();
+    let unsure = waiting.filter(|agent| self.unsure.contains(agent));
+    unsure
+      .filter(|agent| !self.trying.contains(agent))
+      .collect()
+  }
+
+  /// The packet that tells an agent whether its upstream has the flow: the smallest.
+  pub fn probe(&mut self, agent: SocketAddrV4) -> Option<&[u8]> {
     self.trying.push(agent);
     if !self.tried.contains(&agent) {
       self.tried.push(agent);
@@ -120,9 +146,10 @@
     Some(&self.held[index?])
   }
 
-  /// An agent may be given the packet to try once more.
+  /// An agent has started again: what its run before said no longer counts.
   pub fn try_again(&mut self, agent: SocketAddrV4) {
     self.trying.retain(|trying| *trying != agent);
+    self.unsure.retain(|unsure| *unsure != agent);
   }
 
   /// The held packets that an agent has not been given.
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -16,10 +16,13 @@
   std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddrV4,
-    time::Instant,
+    time::{Duration, Instant},
   },
 };
 
+/// How often a flow's packet is tried somewhere while agents that may have the flow are silent.
+pub(super) const TRY_EVERY: Duration = Duration::from_secs(2);
+
 impl<C: Codec> Machine<C> {
   /// Asks those that may have a flow, and holds the packet until one of them says that it has:
   /// first those of this data centre, where most flows are, and then all.
@@ -120,7 +123,7 @@
     let Some(search) = self.searches.get_mut(&flow) else {
       return;
     };
-    if !search.wide && !search.waiting.is_empty() {
+    if !search.wide && search.has_silent_asked() {
       return;
     }
     search.wide = true;
@@ -133,6 +136,7 @@
     let told = self.history.is_told(self.spread.present(now));
     if !search.waiting.is_empty() || !known || !told {
       self.ask(now, flow, acknowledges, &new);
+      self.try_unsure(now, flow, out);
       return;
     }
     let asked = search.asked.len();
@@ -189,18 +193,39 @@
     out: &mut Outbox,
   ) {
     for flow in flows {
-      let Some(service) = self.spread.catalog().service(&flow.route).cloned() else {
-        continue;
-      };
-      let Some(mut search) = self.searches.remove(flow) else {
-        continue;
-      };
-      if let Some(packet) = search.probe(from) {
+      if let Some(search) = self.searches.get_mut(flow) {
+        search.is_unsure(from);
+        self.conclude(now, *flow, out);
+        self.try_unsure(now, *flow, out);
+      }
+    }
+  }
+
+  /// Gives agents that cannot say a packet to try. While others that may have the flow are silent it
+  /// is one in two seconds: an open flow whose own agent's word was lost had packets at three other
+  /// targets, and its caller waited for an answer that none of them could give. Once nobody is
+  /// silent all are tried together, the flow's own among them.
+  fn try_unsure(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
+    let Some(service) = self.spread.catalog().service(&flow.route).cloned() else {
+      return;
+    };
+    let Some(mut search) = self.searches.remove(&flow) else {
+      return;
+    };
+    let mut agents = search.to_try();
+    if search.has_silent() {
+      let recent = |at: &Instant| now.saturating_duration_since(*at) < TRY_EVERY;
+      let recent = self.tried.get(&flow).is_some_and(recent);
+      agents.truncate(usize::from(!recent));
+    }
+    for agent in agents {
+      if let Some(packet) = search.probe(agent) {
+        self.tried.insert(flow, now);
         self.questions.spend(now);
-        self.carry(from, Purpose::Test, &service, packet, out);
+        self.carry(agent, Purpose::Test, &service, packet, out);
       }
-      self.searches.insert(*flow, search);
     }
+    self.searches.insert(flow, search);
   }
 
   pub(super) fn search_over(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -164,6 +164,65 @@
   );
 }
 
+/// Which hosts were given a packet to try.
+fn tried(sent: &[Sent]) -> Vec<u8> {
+  let tried = sent.iter().filter_map(|sent| match sent {
+    Sent::Frame(
+      to,
+      Frame::Carry {
+        purpose: Purpose::Test,
+        ..
+      },
+      _,
+    ) => Some(to.ip().octets()[3]),
+    _ => None,
+  });
+  tried.collect()
+}
+
+/// A balancer that searches for a flow of a service with targets at the hosts 11 to 15.
+fn searching_five() -> Stepped<balancer::Machine<Plain>> {
+  let mut balancer = balancer();
+  let more = [13_u8, 14, 15].map(|host| {
+    let (revision, id) = (u64::from(host) - 8, format!("up-{host}"));
+    listed(revision, &id, host, "a", Presence::Live)
+  });
+  balancer.platform(news(Some(4), 7, &more));
+  assert_eq!(search(&mut balancer), [11, 12, 13, 14, 15]);
+  balancer
+}
+
+#[test]
+fn one_packet_is_tried_while_an_agent_is_silent_that_may_have_the_flow() {
+  let mut balancer = searching_five();
+  let unsure = Frame::Unsure(vec![flow(1, 1)]);
+  let mut all = Vec::new();
+  for host in [11, 12, 13] {
+    all.extend(tried(&balancer.frame(host, &unsure, &[])));
+    all.extend(tried(&balancer.frame(host, &absent(7), &[])));
+    all.extend(tried(&balancer.frame(host, &unsure, &[])));
+  }
+  assert_eq!(all, [11]);
+  // Nor is another one by a search that the next packet of the flow begins.
+  for _ in 0..30 {
+    all.extend(tried(&balancer.pass(Duration::from_millis(50))));
+  }
+  search(&mut balancer);
+  all.extend(tried(&balancer.frame(12, &unsure, &[])));
+  assert_eq!(all, [11]);
+}
+
+#[test]
+fn all_that_cannot_say_try_once_nobody_is_silent() {
+  let mut balancer = searching_five();
+  let unsure = Frame::Unsure(vec![flow(1, 1)]);
+  assert_eq!(tried(&balancer.frame(11, &unsure, &[])), [11]);
+  assert!(tried(&balancer.frame(12, &unsure, &[])).is_empty());
+  assert!(tried(&balancer.frame(13, &unsure, &[])).is_empty());
+  assert!(tried(&balancer.frame(14, &absent(7), &[])).is_empty());
+  assert_eq!(tried(&balancer.frame(15, &absent(7), &[])), [12, 13]);
+}
+
 fn gone(host: u8) -> Gone {
   Gone {
     address: upstream(host),
