--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -20,8 +20,9 @@
   },
 };
 
-/// How often a flow's packet is tried somewhere while agents that may have the flow are silent.
-pub(super) const TRY_EVERY: Duration = Duration::from_secs(2);
+/// How often a flow's packet is tried somewhere while agents that may have the flow are silent: once
+/// in its life, since one that is cut off from a full link may be silent for ten seconds.
+pub(super) const TRY_EVERY: Duration = Duration::from_mins(1);
 
 impl<C: Codec> Machine<C> {
   /// Asks those that may have a flow, and holds the packet until one of them says that it has:
@@ -202,7 +203,7 @@
   }
 
   /// Gives agents that cannot say a packet to try. While others that may have the flow are silent it
-  /// is one in two seconds: an open flow whose own agent's word was lost had packets at three other
+  /// is one: an open flow whose own agent's word was lost had packets at three other
   /// targets, and its caller waited for an answer that none of them could give. Once nobody is
   /// silent all are tried together, the flow's own among them.
   fn try_unsure(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
--- a/tests/datagram/random_run.rs
+++ b/tests/datagram/random_run.rs
@@ -233,9 +233,11 @@
 }
 
 /// Seeds that failed once, each with its cause.
-const FAILED: [u64; 1] = [
+const FAILED: [u64; 2] = [
   // The world took a store that was still away for a calm one: a fault of the world itself.
   8_667_209_001_218_903_438,
+  // A balancer that had just started reset a flow of a target that had left the list, but lived.
+  6_624_647_555_028_840_608,
 ];
 
 /// Seeds that fail once a guard is taken away.
@@ -246,19 +248,6 @@
   4_694_080_057_801_036_487,
 ];
 
-/// Seeds that fail still: KNOWN-RED.txt says why.
-const RED: [u64; 1] = [
-  // A balancer that has just started resets a flow of a target that had left the list, but lives.
-  6_624_647_555_028_840_608,
-];
-
-#[test]
-fn promises_hold_for_the_seeds_that_fail_still() {
-  for seed in RED {
-    play(seed);
-  }
-}
-
 #[test]
 fn promises_hold_under_faults() {
   for seed in FAILED.into_iter().chain(GUARDED).chain(0..96) {
