Let callers' large packets wait for a thin link in the balancer

Cause: the fabric hands a caller's window of 16 packets to a balancer within 3 ms; the balancer sent them on at once, its link of 2 Mbit/s dropped all beyond about 50 ms (agents got ten of each window, by a log of each packet), and what was lost came again after 200, 400, 800 ms, with all that had been lost beside it: opening packets, answers of agents, words of themselves.

Change: balancer::egress counts what leaves, keeps at most 15 ms ahead on the link, and lets packets with 512 bytes of data or more wait for it, 1.5 s of the link at most; one that comes again while it waits is not kept twice. All else goes before them. Questions of searches take an eighth of the link, not 2,500 a second. The rate is the platform's LinkMbps; without one nothing waits.

--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -22,6 +22,7 @@
 pub mod node;
 mod outbox;
 mod patience;
+mod rate;
 mod record;
 mod service;
 mod settings;
@@ -41,6 +42,7 @@
   load::Load,
   outbox::{Datagram, Outbox, Via},
   patience::Patience,
+  rate::{Rate, RateInvalid},
   record::{News, Record},
   service::Service,
   settings::{Settings, Tuning, Upstream},
--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -3,6 +3,7 @@
 
 mod announced;
 mod choosing;
+mod egress;
 mod history;
 mod machine;
 mod opening;
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -1,6 +1,7 @@
 use {
   super::{
     announced::Announced,
+    egress::{Egress, Waiting},
     history::History,
     parking::Parking,
     place::{Place, State},
@@ -53,6 +54,7 @@
   pub(super) begun: bool,
   pub(super) codec: C,
   pub(super) counter: Arc<Counter>,
+  pub(super) egress: Egress,
   pub(super) expired: Instant,
   pub(super) flows: HashMap<Flow, Place>,
   /// What agents that stopped had, by their last word.
@@ -97,6 +99,7 @@
       begun: false,
       codec,
       counter,
+      egress: Egress::new(now, settings.link),
       expired: now,
       flows: HashMap::new(),
       handed: HashMap::new(),
@@ -107,7 +110,7 @@
       parking: Parking::new(now),
       patience: Patience::new(tuning.open_wait, tuning.open_wait),
       port: settings.callers.port(),
-      questions: Questions::new(now),
+      questions: Questions::new(now, settings.link),
       searches: HashMap::new(),
       searching: BTreeSet::new(),
       spread,
@@ -150,6 +153,23 @@
     if head.opens {
       return self.open(now, &head, &service, packet, out);
     }
+    if self.egress.holds(now, &head) {
+      let taken = self.egress.push(head, packet);
+      return if taken { Ok(()) } else { Err(Code::QueueFull) };
+    }
+    self.forward(now, &head, &service, packet, out);
+    Ok(())
+  }
+
+  /// Sends a packet of an open flow where the flow is.
+  fn forward(
+    &mut self,
+    now: Instant,
+    head: &Head,
+    service: &Service,
+    packet: &[u8],
+    out: &mut Outbox,
+  ) {
     match self.flows.get_mut(&head.flow) {
       Some(place) if matches!(place.state, State::Dead) => {
         self.reset(&head.flow, head.acknowledges, out);
@@ -158,18 +178,33 @@
         // A target that another balancer had asked opened it.
         self.unpark(&head.flow);
         self.flows.remove(&head.flow);
-        self.search(now, &head, &service, packet, None);
+        self.search(now, head, service, packet, None);
       }
       Some(place) => {
         // Its caller was answered; if not from there, the agent says so.
         place.state = State::Open;
         place.seen = now;
         let agent = place.agent;
-        self.carry(agent, Purpose::Deliver, &service, packet, out);
+        self.carry(agent, Purpose::Deliver, service, packet, out);
       }
-      None => self.search(now, &head, &service, packet, None),
+      None => self.search(now, head, service, packet, None),
     }
-    Ok(())
+  }
+
+  /// Sends what waited for the link, as far as that has room.
+  fn send_waiting(&mut self, now: Instant, out: &mut Outbox) {
+    while let Some(Waiting { head, packet }) = self.egress.pop(now) {
+      let before = out.size();
+      if let Some(service) = self.spread.catalog().service(&head.flow.route).cloned() {
+        self.forward(now, &head, &service, &packet, out);
+      }
+      self.egress.charge(now, out.size() - before);
+    }
+  }
+
+  /// Counts what an event has put into `out` on the link.
+  fn charged(&mut self, now: Instant, before: usize, out: &Outbox) {
+    self.egress.charge(now, out.size() - before);
   }
 
   /// Nothing may take the packet. The caller of a new flow is told at once, unless a route may have
@@ -343,7 +378,8 @@
     let search = self.searching.first().map(|(deadline, _)| *deadline);
     let status = self.spread.deadline();
     let parked = self.parking.deadline();
-    [opening, parked, search, self.questions.deadline()]
+    let egress = self.egress.deadline();
+    [egress, opening, parked, search, self.questions.deadline()]
       .into_iter()
       .flatten()
       .fold(status, Instant::min)
@@ -427,6 +463,7 @@
     json!({
       "flows": self.flows.len(),
       "parked": self.parking.total(),
+      "waiting": self.egress.len(),
       "searches": self.searches.len(),
       "spread": self.spread.dump(now),
       "targets": self.targets.dump(now),
@@ -442,15 +479,25 @@
     bytes: &[u8],
     out: &mut Outbox,
   ) -> Result<(), Code> {
-    self.take_frame(now, from, bytes, out)
+    let before = out.size();
+    let taken = self.take_frame(now, from, bytes, out);
+    self.charged(now, before, out);
+    self.send_waiting(now, out);
+    taken
   }
 
   fn news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) {
+    let before = out.size();
     self.take_news(now, origin, news, out);
+    self.charged(now, before, out);
   }
 
   fn packet(&mut self, now: Instant, packet: &mut [u8], out: &mut Outbox) -> Result<(), Code> {
-    self.take_packet(now, packet, out)
+    let before = out.size();
+    let taken = self.take_packet(now, packet, out);
+    self.charged(now, before, out);
+    self.send_waiting(now, out);
+    taken
   }
 
   fn spread(&mut self) -> &mut Spread {
@@ -462,6 +509,9 @@
   }
 
   fn tick(&mut self, now: Instant, out: &mut Outbox) {
+    let before = out.size();
     self.look(now, out);
+    self.charged(now, before, out);
+    self.send_waiting(now, out);
   }
 }
--- a/src/datagram/balancer/questions.rs
+++ b/src/datagram/balancer/questions.rs
@@ -1,7 +1,7 @@
 use {
   crate::{
     Revision,
-    datagram::{Flow, Frame, Outbox, frame::ASKED_MAX},
+    datagram::{Flow, Frame, Outbox, Rate, frame::ASKED_MAX},
   },
   std::{
     collections::BTreeMap,
@@ -10,25 +10,37 @@
   },
 };
 
-/// The time that each question and each packet to try takes of the budget: 2,500 a second, an
+/// The least time that each question and each packet to try takes of the budget: 2,500 a second, an
 /// eighth of a link of 10 Mbit/s.
 const EACH: Duration = Duration::from_micros(400);
 
+/// The part of a link that they may take, whatever it carries.
+const PART: f64 = 0.125;
+
+/// The bytes of a question about one flow, with the network's own head.
+const SIZE: f64 = 64.0;
+
 /// Questions about flows that wait to be sent. The more there are, the more flows each names: they
 /// leave at a bounded rate, so that searching never fills the link that the answers need.
 #[derive(Debug)]
 pub struct Questions {
   /// When the budget allows the next ones.
   allowed: Instant,
+  /// The time that each takes.
+  each: Duration,
   /// By the agent and the digest of the service's name.
   pending: BTreeMap<(SocketAddrV4, u64), Vec<(Flow, u32)>>,
 }
 
 impl Questions {
-  /// No questions.
-  pub fn new(now: Instant) -> Self {
+  /// No questions over a link, where its rate is known.
+  pub fn new(now: Instant, link: Option<Rate>) -> Self {
+    let second = Duration::from_secs(1);
+    let each = link.map(|link| SIZE / (link.bytes_in(second) * PART));
+    let each = each.map(Duration::from_secs_f64).unwrap_or_default();
     Self {
       allowed: now,
+      each: each.max(EACH),
       pending: BTreeMap::new(),
     }
   }
@@ -75,6 +87,6 @@
 
   /// A datagram more was sent for a search.
   pub fn spend(&mut self, now: Instant) {
-    self.allowed = self.allowed.max(now) + EACH;
+    self.allowed = self.allowed.max(now) + self.each;
   }
 }
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -181,7 +181,11 @@
       return;
     };
     for packet in search.packets_for(from) {
-      self.carry(from, Purpose::Deliver, &service, packet, out);
+      let held = self.codec.read_from_caller(packet).ok();
+      let held = held.filter(|head| self.egress.paces(head));
+      if held.is_none_or(|head| !self.egress.push(head, packet)) {
+        self.carry(from, Purpose::Deliver, &service, packet, out);
+      }
     }
   }
 
--- a/src/datagram/outbox.rs
+++ b/src/datagram/outbox.rs
@@ -43,6 +43,11 @@
     self.datagrams.clear();
   }
 
+  /// How many bytes there are.
+  pub fn size(&self) -> usize {
+    self.bytes.len()
+  }
+
   /// The datagrams, the first one first.
   pub fn datagrams(&self) -> &[Datagram] {
     &self.datagrams
--- a/src/datagram/settings.rs
+++ b/src/datagram/settings.rs
@@ -1,5 +1,5 @@
 use {
-  super::Service,
+  super::{Rate, Service},
   crate::{
     code::{Code, Fault},
     logging,
@@ -23,6 +23,8 @@
   pub data_centre: String,
   /// Whether the whole system starts for the first time, so that no flow can be older.
   pub first_start: bool,
+  /// What the instance's link carries; nothing is known of it where this is not set.
+  pub link: Option<Rate>,
   /// How it logs.
   pub log: logging::Settings,
   /// Where frames (UDP) and questions (TCP) of peers arrive; the port is the same everywhere.
@@ -57,6 +59,7 @@
       callers: local(4400),
       data_centre: "default".into(),
       first_start: false,
+      link: None,
       log: logging::Settings::default(),
       peers: local(7400),
       platform: local(7000),
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -617,7 +617,7 @@
 
 #[test]
 fn nobody_to_be_asked_is_no_proof() {
-  let mut balancer = Stepped::balancer(1);
+  let mut balancer = Stepped::balancer(1, None);
   balancer.platform(news(None, 1, &[configured(1, 1, &[(1, "a")])]));
   let sent = balancer.packet(Packet::data(flow(1, 1), 2, 100));
   assert_eq!(sent, []);
--- a/tests/datagram/balancing.rs
+++ b/tests/datagram/balancing.rs
@@ -9,7 +9,7 @@
     Revision,
     config::Presence,
     datagram::{
-      Flow, Frame, Load, balancer,
+      Flow, Frame, Load, Rate, balancer,
       frame::{Known, Purpose, Role, Status},
     },
   },
@@ -21,7 +21,12 @@
 
 /// A balancer before two targets of service `a` and one of service `b`.
 pub fn balancer() -> Balancer {
-  let mut balancer = Stepped::balancer(1);
+  balancer_with(None)
+}
+
+/// The same, on an instance whose link carries so much.
+pub fn balancer_with(link: Option<Rate>) -> Balancer {
+  let mut balancer = Stepped::balancer(1, link);
   let live = Presence::Live;
   let records = [
     configured(1, 1, &[(1, "a"), (2, "b")]),
--- /dev/null
+++ b/tests/datagram/rate.rs
@@ -0,0 +1,27 @@
+//! Rates: their text is read again, and what is no rate is refused.
+
+use fallwell::datagram::{Rate, RateInvalid};
+
+#[test]
+fn a_rate_is_read_again() {
+  for megabits in [0.5, 2.0, 20.0, 1000.0] {
+    let rate = Rate::megabits(megabits).expect("a rate");
+    assert_eq!(rate.to_string().parse(), Ok(rate));
+  }
+  assert_eq!(Rate::megabits(2.0).expect("a rate").to_string(), "2 Mbit/s");
+}
+
+#[test]
+fn what_is_no_rate_is_refused() {
+  for text in [
+    "",
+    "2",
+    "Mbit/s",
+    "0 Mbit/s",
+    "-1 Mbit/s",
+    "NaN Mbit/s",
+    "fast Mbit/s",
+  ] {
+    assert_eq!(text.parse::<Rate>(), Err(RateInvalid), "{text}");
+  }
+}
--- a/tests/datagram/spread.rs
+++ b/tests/datagram/spread.rs
@@ -128,7 +128,7 @@
 
 #[test]
 fn a_stopping_balancer_reads_no_more() {
-  let mut balancer = crate::support::Stepped::balancer(1);
+  let mut balancer = crate::support::Stepped::balancer(1, None);
   balancer.step(Event::Stop);
   let now = balancer.now;
   assert!(!balancer.machine.spread().is_reader(now));
--- a/tests/datagram/support.rs
+++ b/tests/datagram/support.rs
@@ -5,8 +5,8 @@
     config::Presence,
     counter::Counter,
     datagram::{
-      Configuration, Event, Flow, Frame, Machine, News, Origin, Outbox, Record, Route, Service,
-      Settings, Target, Tuning, Upstream, Version, Via, agent, balancer,
+      Configuration, Event, Flow, Frame, Machine, News, Origin, Outbox, Rate, Record, Route,
+      Service, Settings, Target, Tuning, Upstream, Version, Via, agent, balancer,
     },
   },
   std::{
@@ -162,12 +162,16 @@
 }
 
 impl Stepped<balancer::Machine<Plain>> {
-  /// A balancer that has just started.
-  pub fn balancer(host: u8) -> Self {
+  /// A balancer that has just started, on an instance whose link carries so much.
+  pub fn balancer(host: u8, link: Option<Rate>) -> Self {
     let now = Instant::now();
     let counter = Arc::new(Counter::default());
     let tuning = Tuning::default();
-    let machine = balancer::Machine::new(now, &settings(host), tuning, Plain, 1, counter);
+    let settings = Settings {
+      link,
+      ..settings(host)
+    };
+    let machine = balancer::Machine::new(now, &settings, tuning, Plain, 1, counter);
     Self::new(machine, now)
   }
 }
--- a/tests/datagram/waiting.rs
+++ b/tests/datagram/waiting.rs
@@ -211,7 +211,7 @@
 
 #[test]
 fn a_balancer_that_has_just_started_tells_at_once() {
-  let mut balancer = Stepped::balancer(1);
+  let mut balancer = Stepped::balancer(1, None);
   // What a start takes is no standstill.
   balancer.now += Duration::from_millis(400);
   let live = Presence::Live;
