Hold packets for an agent that restarts as planned, and end agents in a quiet moment

Cause: an agent ends 20 ms after it was told to stop, with requests under way, and is started again 0.53 s later (by the logs); what reaches its instance meanwhile is lost and comes again after 200 and 600 ms, the upstream's answers too. Ruled out: the time the next run needs (6 ms to its first word to balancers near).

Change: an agent ends once its upstream has answered what it was asked, after 20 to 700 ms. A balancer that has heard its last word holds packets for its flows, 1.5 s at most and 2 MB in all, greets it each 50 ms while it holds any, and sends them on once the next run has told of itself. An agent answers a balancer that it hears of first, so that one in another data centre need not wait for 2 s.

What is left is requests in the first 0.1 s after an agent's end: with half a second until its next run they cannot be answered within their objective of 500 ms.

--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -125,6 +125,11 @@
     out: &mut Outbox,
   ) -> Result<(), Code> {
     let (frame, packet) = Frame::decode(bytes)?;
+    if self.spread.is_new(from) {
+      // Who speaks first may hold packets until it knows that this run is there.
+      let load = self.load(now);
+      self.spread.greet(now, Role::Agent(load), from, out);
+    }
     match frame {
       Frame::Ask {
         complete,
@@ -364,6 +369,12 @@
     taken
   }
 
+  /// Whether the upstream has answered all that it was asked: an answer that comes after the end is
+  /// lost, and comes again late.
+  fn is_quiet(&self) -> bool {
+    self.work.under_way() == 0
+  }
+
   fn news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) {
     self.take_news(now, origin, news, out);
   }
--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -1,6 +1,7 @@
 //! What a balancer does with the packets of callers: it places new flows, remembers where they
 //! are, and searches for those that it does not know.
 
+mod absences;
 mod announced;
 mod choosing;
 mod egress;
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -1,5 +1,6 @@
 use {
   super::{
+    absences::Absences,
     announced::Announced,
     egress::{Egress, Waiting},
     history::History,
@@ -49,6 +50,7 @@
 
 /// Decides where a balancer sends the packets of callers.
 pub struct Machine<C> {
+  pub(super) absences: Absences,
   pub(super) announced: Announced,
   /// Whether it was told of the time once: what a start takes is no standstill.
   pub(super) begun: bool,
@@ -95,6 +97,7 @@
   ) -> Self {
     let spread = Spread::new(now, settings, true, incarnation, tuning);
     Self {
+      absences: Absences::default(),
       announced: Announced::default(),
       begun: false,
       codec,
@@ -185,12 +188,41 @@
         place.state = State::Open;
         place.seen = now;
         let agent = place.agent;
-        self.carry(agent, Purpose::Deliver, service, packet, out);
+        let away = self.absences.is_away(now, agent);
+        if !away || !self.absences.hold(agent, *head, packet) {
+          self.carry(agent, Purpose::Deliver, service, packet, out);
+        }
       }
       None => self.search(now, head, service, packet, None),
     }
   }
 
+  /// An agent is back, or is waited for no longer: what was held for it goes on.
+  fn returned(&mut self, now: Instant, agent: SocketAddrV4, out: &mut Outbox) {
+    let packets = self.absences.end(agent);
+    if !packets.is_empty() {
+      log::info!(agent:% = agent, packets = packets.len(); "balancer: held packets go on.");
+    }
+    for (head, packet) in packets {
+      if self.egress.paces(&head) && self.egress.push(head, &packet) {
+        continue;
+      }
+      if let Some(service) = self.spread.catalog().service(&head.flow.route).cloned() {
+        self.forward(now, &head, &service, &packet, out);
+      }
+    }
+  }
+
+  /// Greets agents that packets are held for, and gives up those that are not back in time.
+  fn await_absent(&mut self, now: Instant, out: &mut Outbox) {
+    for agent in self.absences.to_greet(now) {
+      self.spread.greet(now, Role::Balancer, agent, out);
+    }
+    for agent in self.absences.lost(now) {
+      self.returned(now, agent, out);
+    }
+  }
+
   /// Sends what waited for the link, as far as that has room.
   fn send_waiting(&mut self, now: Instant, out: &mut Outbox) {
     while let Some(Waiting { head, packet }) = self.egress.pop(now) {
@@ -274,6 +306,7 @@
       Frame::Handover { flows, part, parts } => {
         let handed = self.handed.entry(from).or_default();
         handed.take(now, part, parts, flows);
+        self.absences.begin(now, from);
       }
       Frame::Past {
         known,
@@ -314,6 +347,7 @@
       self.remind(now, from, out);
     }
     if run != Run::Known {
+      self.returned(now, from, out);
       self.ask_new(now, from);
     }
   }
@@ -379,10 +413,18 @@
     let status = self.spread.deadline();
     let parked = self.parking.deadline();
     let egress = self.egress.deadline();
-    [egress, opening, parked, search, self.questions.deadline()]
-      .into_iter()
-      .flatten()
-      .fold(status, Instant::min)
+    let absent = self.absences.deadline();
+    [
+      absent,
+      egress,
+      opening,
+      parked,
+      search,
+      self.questions.deadline(),
+    ]
+    .into_iter()
+    .flatten()
+    .fold(status, Instant::min)
   }
 
   fn rank_routes(&mut self) {
@@ -415,6 +457,7 @@
       self.search_over(now, flow, out);
     }
     self.release(now, out);
+    self.await_absent(now, out);
     let complete = self.spread.catalog().complete();
     self.questions.send(now, complete, out);
     if now >= self.expired + EXPIRE {
@@ -486,6 +529,11 @@
     taken
   }
 
+  /// Callers' packets come until the fabric leads them elsewhere.
+  fn is_quiet(&self) -> bool {
+    false
+  }
+
   fn news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) {
     let before = out.size();
     self.take_news(now, origin, news, out);
--- a/src/datagram/event.rs
+++ b/src/datagram/event.rs
@@ -91,6 +91,9 @@
     out: &mut Outbox,
   ) -> Result<(), Code>;
 
+  /// Whether nothing is under way that the end of the process would interrupt.
+  fn is_quiet(&self) -> bool;
+
   /// News came.
   fn news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox);
 
--- a/src/datagram/node/carrier.rs
+++ b/src/datagram/node/carrier.rs
@@ -14,7 +14,7 @@
   std::{
     io::{self, ErrorKind},
     net::{SocketAddr, SocketAddrV4},
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
   },
 };
@@ -136,6 +136,8 @@
       }
       self.flush();
       self.publish(now);
+      let quiet = self.machine.is_quiet();
+      self.shared.quiet.store(quiet, Ordering::Relaxed);
       logging::flush_if_due(now);
     }
   }
--- a/src/datagram/node/run.rs
+++ b/src/datagram/node/run.rs
@@ -26,10 +26,26 @@
 
 /// How long a stopping balancer goes on: the fabric looks twice, half a second apart, before it
 /// sends callers elsewhere.
-const LINGER: Duration = Duration::from_millis(1700);
+const BALANCER: Linger = Linger {
+  least: Duration::from_millis(1700),
+  most: Duration::from_millis(1700),
+};
+
+/// How long a stopping agent goes on: until balancers have heard that it takes no new flows, and then
+/// until its upstream has answered what it was asked. Flows that go on have idle moments before long.
+const AGENT: Linger = Linger {
+  least: Duration::from_millis(20),
+  most: Duration::from_millis(700),
+};
+
+/// How often a stopping process looks whether it is quiet.
+const LOOK: Duration = Duration::from_millis(5);
 
-/// How long a stopping agent goes on, so that what it has just said is sent.
-const FAREWELL: Duration = Duration::from_millis(20);
+/// How long a stopping process goes on: at least, and at most where it is not quiet before.
+struct Linger {
+  least: Duration,
+  most: Duration,
+}
 
 /// How long the packet thread may take for its last word: far more than all flows of a target need.
 const LAST_WORD: Duration = Duration::from_secs(1);
@@ -37,7 +53,7 @@
 /// What a role is run with.
 struct Part<M, R> {
   counter: Arc<Counter>,
-  farewell: Duration,
+  linger: Linger,
   machine: M,
   /// Where callers' packets arrive, or the upstream's.
   packets: SocketAddrV4,
@@ -59,7 +75,7 @@
   let counts = Arc::clone(&counter);
   let part = Part {
     counter,
-    farewell: LINGER,
+    linger: BALANCER,
     machine: balancer::Machine::new(now, settings, tuning, codec, incarnation, counts),
     packets: settings.callers,
     reload,
@@ -82,7 +98,7 @@
   let packets = upstream.outbound;
   let part = Part {
     counter,
-    farewell: FAREWELL,
+    linger: AGENT,
     machine: agent::Machine::new(now, settings, upstream, tuning, codec, incarnation, counts),
     packets,
     reload,
@@ -120,7 +136,7 @@
   log::info!(role:% = part.role; "node: process stops as planned.");
   shared.stopping.store(true, Ordering::Relaxed);
   shared.tell(Message::Stop);
-  thread::sleep(part.farewell);
+  linger(&part.linger, &shared);
   let (done, ended) = channel::bounded(1);
   shared.tell(Message::End(done));
   if ended.recv_timeout(LAST_WORD).is_err() {
@@ -130,6 +146,15 @@
   Ok(())
 }
 
+/// Goes on until nothing is under way, or for as long as is allowed.
+fn linger(linger: &Linger, shared: &Shared) {
+  let end = Instant::now() + linger.most;
+  thread::sleep(linger.least);
+  while !shared.quiet.load(Ordering::Relaxed) && Instant::now() < end {
+    thread::sleep(LOOK);
+  }
+}
+
 /// Takes from new settings what can change while the process runs.
 fn reload_settings(
   settings: &Settings,
--- a/src/datagram/node/shared.rs
+++ b/src/datagram/node/shared.rs
@@ -59,6 +59,8 @@
   pub counter: Arc<Counter>,
   /// What the carrier is told.
   pub messages: Sender<Message>,
+  /// Whether nothing is under way that the end of the process would interrupt.
+  pub quiet: AtomicBool,
   /// Whether callers' packets may be sent here.
   pub ready: AtomicBool,
   /// Questions to peers.
@@ -84,6 +86,7 @@
       counter,
       messages,
       questions,
+      quiet: AtomicBool::new(false),
       reading: watch::Sender::default(),
       ready: AtomicBool::new(false),
       stopping: AtomicBool::new(false),
--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -375,6 +375,17 @@
     }
   }
 
+  /// Tells one process of this one now.
+  pub fn greet(&self, now: Instant, role: Role, to: SocketAddrV4, out: &mut Outbox) {
+    out.frame(to, &Frame::Status(self.own_status(now, role)), &[]);
+  }
+
+  /// Whether a process was never heard of.
+  pub fn is_new(&self, process: SocketAddrV4) -> bool {
+    let peer = self.peers.get(&process);
+    peer.is_none_or(|peer| peer.heard.is_none())
+  }
+
   /// What is to be asked of whom, once.
   pub fn take_wanted(&mut self) -> Option<(SocketAddrV4, Revision)> {
     self.wanted.take()
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -410,6 +410,27 @@
   assert_eq!(sent, [Sent::Frame(peer(1), absent(other, NOTHING), vec![])]);
 }
 
+#[test]
+fn an_agent_tells_a_balancer_that_it_hears_of_first_that_it_is_there() {
+  let mut agent = Stepped::agent(9, "a", false);
+  let ask = Frame::Ask {
+    complete: KNOWN,
+    flows: vec![],
+    service: "a".parse::<Service>().expect("a name").digest(),
+  };
+  assert_eq!(agent.statuses(BALANCER, &ask), 1);
+  assert_eq!(agent.statuses(BALANCER, &ask), 0);
+}
+
+#[test]
+fn an_agent_is_quiet_once_its_upstream_has_answered() {
+  let (mut agent, flow) = with_flow(true);
+  agent.step(Event::Stop);
+  assert!(!agent.machine.is_quiet());
+  agent.packet(Packet::data(flow, 101, 12));
+  assert!(agent.machine.is_quiet());
+}
+
 #[test]
 fn a_stopping_agent_takes_no_new_flow() {
   let (mut agent, _) = with_flow(true);
--- a/tests/datagram/balancer.rs
+++ b/tests/datagram/balancer.rs
@@ -2,8 +2,8 @@
 
 use {
   crate::{
-    balancing::{absent, asked, balancer, busy, carried, is_reset, search, tell},
-    plain::{Packet, Plain},
+    balancing::{Balancer, absent, asked, balancer, busy, carried, is_reset, search, tell},
+    plain::Packet,
     support::{Sent, Stepped, configured, elsewhere, flow, listed, news, peer, unlisted, upstream},
   },
   assert_matches::assert_matches,
@@ -11,7 +11,7 @@
     Revision,
     config::Presence,
     datagram::{
-      Frame, Load, Machine, balancer,
+      Frame, Load, Machine,
       frame::{Gone, Known, Purpose, Refusal, Role, Status},
       handover::Passed,
     },
@@ -181,7 +181,7 @@
 }
 
 /// A balancer that searches for a flow of a service with targets at the hosts 11 to 15.
-fn searching_five() -> Stepped<balancer::Machine<Plain>> {
+fn searching_five() -> Balancer {
   let mut balancer = balancer();
   let more = [13_u8, 14, 15].map(|host| {
     let (revision, id) = (u64::from(host) - 8, format!("up-{host}"));
@@ -232,7 +232,7 @@
 }
 
 /// A balancer's word of itself.
-fn told(balancer: &mut Stepped<balancer::Machine<Plain>>, host: u8) -> Vec<Sent> {
+fn told(balancer: &mut Balancer, host: u8) -> Vec<Sent> {
   let status = Status {
     balancers: vec![],
     complete: Revision(4),
@@ -524,6 +524,50 @@
   );
 }
 
+/// A balancer with a flow at the agent on host 11, which has just said its last word.
+fn with_stopped_agent() -> Balancer {
+  let mut balancer = balancer();
+  balancer.frame(11, &Frame::Found(flow(1, 1)), &[]);
+  let frame = Frame::Handover {
+    flows: vec![passed(1)],
+    part: 0,
+    parts: 1,
+  };
+  balancer.frame(11, &frame, &[]);
+  balancer
+}
+
+#[test]
+fn packets_for_an_agent_that_stops_as_planned_wait_for_its_next_run() {
+  let mut balancer = with_stopped_agent();
+  let packet = Packet::data(flow(1, 1), 2, 100);
+  assert_eq!(balancer.packet(packet), []);
+  balancer.pass(Duration::from_millis(200));
+  // Its caller sends it again; it goes on once.
+  assert_eq!(balancer.packet(packet), []);
+  balancer.pass(Duration::from_millis(300));
+  let sent = tell(&mut balancer, 11, 2, Load::default());
+  assert_eq!(carried(&sent), [(11, Purpose::Deliver)]);
+  let handed = |sent: &Sent| matches!(sent, Sent::Frame(_, Frame::Handover { .. }, _));
+  let first = sent.iter().position(handed).expect("a list");
+  let carry = |sent: &Sent| matches!(sent, Sent::Frame(_, Frame::Carry { .. }, _));
+  assert!(sent.iter().position(carry) > Some(first), "{sent:?}");
+  // What comes then goes on at once.
+  let sent = balancer.packet(Packet::data(flow(1, 1), 3, 110));
+  assert_eq!(carried(&sent), [(11, Purpose::Deliver)]);
+}
+
+#[test]
+fn packets_for_an_agent_that_does_not_come_back_go_on_after_a_while() {
+  let mut balancer = with_stopped_agent();
+  assert_eq!(balancer.packet(Packet::data(flow(1, 1), 2, 100)), []);
+  let mut sent = Vec::new();
+  for _ in 0..40 {
+    sent.extend(balancer.pass(Duration::from_millis(50)));
+  }
+  assert_eq!(carried(&sent), [(11, Purpose::Deliver)]);
+}
+
 #[test]
 fn a_handover_goes_back_to_the_next_run_whole() {
   let mut balancer = balancer();
--- a/tests/datagram/support.rs
+++ b/tests/datagram/support.rs
@@ -228,6 +228,16 @@
     })
   }
 
+  /// Feeds a frame from an instance; how many statuses that instance is sent.
+  pub fn statuses(&mut self, from: u8, frame: &Frame) -> usize {
+    self.frame(from, frame, &[]);
+    let datagrams = self.out.datagrams().iter();
+    let sent = datagrams.filter(|datagram| datagram.to == peer(from));
+    let frames = sent.filter_map(|datagram| Frame::decode(self.out.bytes(datagram)).ok());
+    let statuses = frames.filter(|(frame, _)| matches!(frame, Frame::Status(_)));
+    statuses.count()
+  }
+
   /// Feeds news of the platform.
   pub fn platform(&mut self, news: News) -> Vec<Sent> {
     self.step(Event::News(Origin::Platform, news))
