Prove sooner that a flow is nowhere after all have lost power

Each no walked all agents again, on 0.038 of a core. Ruled out: the links (paced), the platform (back).

--- a/src/datagram/agent/answers.rs
+++ b/src/datagram/agent/answers.rs
@@ -6,7 +6,7 @@
     machine::Machine,
   },
   crate::{
-    Code, Revision,
+    Code,
     datagram::{Codec, Frame, Head, Outbox, Via, frame::Refusal},
   },
   std::{net::SocketAddrV4, time::Instant},
@@ -117,7 +117,7 @@
       let packet = if wanted { packet } else { &[] };
       let frame = Frame::Absent {
         flows: vec![flow],
-        known: self.known(now, Revision::default()),
+        known: self.known(now, entry.map(|entry| entry.asker).unwrap_or_default()),
       };
       out.frame(balancer, &frame, packet);
     }
--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -113,6 +113,7 @@
       State::Open | State::Tested { .. } => {}
     }
     entry.seen = now;
+    entry.asker = carried.complete;
     entry.balancer = Some(carried.from);
     let tested = matches!(entry.state, State::Tested { .. });
     if tested && carried.purpose == Purpose::Test {
@@ -209,6 +210,7 @@
       .flows
       .entry(flow)
       .or_insert(Held::new(now, state, None));
+    entry.asker = carried.complete;
     entry.balancer = Some(carried.from);
     entry.seen = now;
     entry.state = state;
@@ -262,14 +264,17 @@
     self.work.wait_ms(self.slots()) > objective_ms * self.tuning.wait_part_first
   }
 
-  /// What is known here of where else a flow of this service may be.
+  /// What is known here of where else a flow of this service may be, besides what the asker knows,
+  /// who knows the list up to a revision. Where all of that is named, the asker need not know more of
+  /// the list for its proof: after a loss of power the list changed for 2 s, and callers of 174 dead
+  /// flows had gone before they were told.
   pub(super) fn known(&self, now: Instant, asker: Revision) -> Known {
-    let same = asker == self.spread.catalog().complete();
+    let complete = self.spread.catalog().complete();
     let entries = self.spread.catalog().entries();
     let past = entries.filter_map(|(_, entry)| {
       let age = match entry.gone {
         Some(gone) => now.saturating_duration_since(gone),
-        None if same => return None,
+        None if entry.revision <= asker => return None,
         None => Duration::ZERO,
       };
       let target = &entry.target;
@@ -277,9 +282,11 @@
         target.service == self.upstream.service && target.address != self.upstream.address;
       counts.then_some((target.address, age.as_millis() as u32))
     });
+    let past = past.take(PAST_MAX).collect::<Vec<_>>();
+    let all = past.len() < PAST_MAX;
     Known {
-      complete: self.spread.catalog().complete(),
-      past: past.take(PAST_MAX).collect(),
+      complete: if all { complete.min(asker) } else { complete },
+      past,
     }
   }
 }
--- a/src/datagram/agent/held.rs
+++ b/src/datagram/agent/held.rs
@@ -1,11 +1,16 @@
 use {
-  crate::datagram::{Flow, handover::Passed},
+  crate::{
+    Revision,
+    datagram::{Flow, handover::Passed},
+  },
   std::{net::SocketAddrV4, time::Instant},
 };
 
 /// A flow at the agent's upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Held {
+  /// The revision up to which the balancer knew the list that its last packet came from.
+  pub asker: Revision,
   /// How many requests the upstream had when the one that waits reached it.
   pub ahead: u16,
   /// The balancer that its last packet came from.
@@ -88,6 +93,7 @@
   pub fn new(now: Instant, state: State, balancer: Option<SocketAddrV4>) -> Self {
     Self {
       ahead: 0,
+      asker: Revision::default(),
       balancer,
       bytes: 0,
       expected: false,
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -52,6 +52,8 @@
 pub struct Machine<C> {
   pub(super) absences: Absences,
   pub(super) announced: Announced,
+  /// Flows that all agents have said no of, before the list or the past was known.
+  pub(super) answered: BTreeSet<Flow>,
   /// Whether it was told of the time once: what a start takes is no standstill.
   pub(super) begun: bool,
   pub(super) codec: C,
@@ -99,6 +101,7 @@
     Self {
       absences: Absences::default(),
       announced: Announced::default(),
+      answered: BTreeSet::new(),
       begun: false,
       codec,
       counter,
@@ -316,6 +319,7 @@
       } => {
         self.targets.remember(now, &past);
         self.history.take(now, from, part, parts, known);
+        self.conclude_answered(now, out);
       }
       Frame::News(news) => self.take_news(now, Origin::Peer(from), news, out),
       Frame::Opened(flow, load) => self.opened(now, from, flow, load),
@@ -337,9 +341,7 @@
   ) {
     self.spread.status(now, from, status);
     let Role::Agent(load) = status.role else {
-      if self.history.asks(now, from) {
-        out.frame(from, &Frame::AskPast, &[]);
-      }
+      self.ask_past(now, from, out);
       return;
     };
     let run = self.targets.status(now, from, status, load);
@@ -352,6 +354,23 @@
     }
   }
 
+  /// Asks a balancer what left the list, while that is not known.
+  fn ask_past(&mut self, now: Instant, balancer: SocketAddrV4, out: &mut Outbox) {
+    if self.history.asks(now, balancer) {
+      out.frame(balancer, &Frame::AskPast, &[]);
+    }
+  }
+
+  /// Asks all balancers that are there and have not answered.
+  fn ask_all_past(&mut self, now: Instant, out: &mut Outbox) {
+    if self.history.is_known() || self.answered.is_empty() {
+      return;
+    }
+    for balancer in self.spread.present(now).collect::<Vec<_>>() {
+      self.ask_past(now, balancer, out);
+    }
+  }
+
   /// Tells a balancer that has just started which targets have left the list.
   fn tell_past(&self, now: Instant, to: SocketAddrV4, out: &mut Outbox) {
     let past = self.targets.past(now, self.spread.catalog());
@@ -396,6 +415,7 @@
   pub(super) fn take_news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) {
     let change = self.spread.news(now, origin, news, out);
     self.changed(&change);
+    self.conclude_answered(now, out);
   }
 
   pub(super) fn changed(&mut self, change: &crate::datagram::Change) {
@@ -449,6 +469,8 @@
       self.openings.pop_first();
       self.unanswered(now, deadline, flow, out);
     }
+    self.ask_all_past(now, out);
+    self.conclude_answered(now, out);
     while let Some((deadline, flow)) = self.searching.first().copied() {
       if deadline > now {
         break;
--- a/src/datagram/balancer/search.rs
+++ b/src/datagram/balancer/search.rs
@@ -37,9 +37,9 @@
   probe: Option<usize>,
   /// Who was given it.
   tried: Agents,
-  /// Who was given it since the last question.
+  /// Who of them was given it since the last question.
   trying: Agents,
-  /// Who could not say.
+  /// Who of them could not say.
   unsure: Agents,
   /// Who has not said yes or no.
   pub waiting: Agents,
@@ -113,6 +113,18 @@
     }
   }
 
+  /// An agent does not have the flow.
+  pub fn said_no(&mut self, agent: SocketAddrV4) {
+    self.keep(|other| other != agent);
+  }
+
+  /// Waits only for those agents.
+  pub fn keep(&mut self, kept: impl Fn(SocketAddrV4) -> bool) {
+    self.waiting.retain(|agent| kept(*agent));
+    self.unsure.retain(|agent| kept(*agent));
+    self.trying.retain(|agent| kept(*agent));
+  }
+
   /// Whether some that may have the flow have not said anything.
   pub fn has_silent(&self) -> bool {
     !self.wide || self.has_silent_asked()
@@ -120,14 +132,20 @@
 
   /// Whether some of those that were asked have not said anything.
   pub fn has_silent_asked(&self) -> bool {
-    let mut waiting = self.waiting.iter();
-    waiting.any(|agent| !self.unsure.contains(agent))
+    self.waiting.len() > self.unsure.len()
+  }
+
+  /// Whether most of those that were asked cannot say.
+  pub fn is_mostly_unsure(&self) -> bool {
+    self.wide && 2 * self.unsure.len() > self.asked.len()
   }
 
   /// Who may be given a packet to try.
   pub fn to_try(&self) -> Agents {
-    let waiting = self.waiting.iter().copied();
-    let unsure = waiting.filter(|agent| self.unsure.contains(agent));
+    if self.trying.len() == self.unsure.len() {
+      return Agents::new();
+    }
+    let unsure = self.unsure.iter().copied();
     unsure
       .filter(|agent| !self.trying.contains(agent))
       .collect()
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -95,7 +95,7 @@
         self.flows.remove(flow);
       }
       if let Some(search) = self.searches.get_mut(flow) {
-        search.waiting.retain(|agent| *agent != from);
+        search.said_no(from);
         // A target that is not known here yet may have the flow.
         search.needs = search.needs.max(known.complete);
         self.conclude(now, *flow, out);
@@ -119,14 +119,24 @@
     }
   }
 
-  /// Ends a search that nobody is left to answer: the flow is nowhere, and its caller is told.
+  /// Goes on with a search as far as what was said allows.
   pub(super) fn conclude(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
-    let Some(search) = self.searches.get_mut(&flow) else {
+    let Some(search) = self.searches.get(&flow) else {
       return;
     };
-    if !search.wide && search.has_silent_asked() {
-      return;
+    if search.wide && !search.waiting.is_empty() {
+      self.try_unsure(now, flow, out);
+    } else if !search.has_silent_asked() {
+      self.ask_rest(now, flow, out);
     }
+  }
+
+  /// Asks whoever was not asked yet. Where nobody is left the flow is nowhere, and its caller is
+  /// told.
+  fn ask_rest(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
+    let Some(search) = self.searches.get_mut(&flow) else {
+      return;
+    };
     search.wide = true;
     let service = self.spread.catalog().service(&flow.route);
     let holders = service.iter();
@@ -134,13 +144,16 @@
     // Whoever has become known since is asked too.
     let (new, acknowledges) = (search.extend(holders), search.acknowledges);
     let known = self.spread.catalog().complete() >= search.needs;
-    let told = self.history.is_told(self.spread.present(now));
-    if !search.waiting.is_empty() || !known || !told {
+    if !search.waiting.is_empty() {
       self.ask(now, flow, acknowledges, &new);
       self.try_unsure(now, flow, out);
       return;
     }
     let asked = search.asked.len();
+    if !known || !self.is_past_told(now) {
+      self.answered.insert(flow);
+      return;
+    }
     self.end_search(&flow);
     if self.flows.contains_key(&flow) {
       return;
@@ -162,6 +175,20 @@
     self.reset(&flow, acknowledges, out);
   }
 
+  fn is_past_told(&self, now: Instant) -> bool {
+    self.history.is_told(now, self.spread.present(now))
+  }
+
+  /// Concludes searches whose agents have all answered, once the list or the past is known.
+  pub(super) fn conclude_answered(&mut self, now: Instant, out: &mut Outbox) {
+    if self.answered.is_empty() || !self.is_past_told(now) {
+      return;
+    }
+    for flow in std::mem::take(&mut self.answered) {
+      self.conclude(now, flow, out);
+    }
+  }
+
   pub(super) fn found(&mut self, now: Instant, from: SocketAddrV4, flow: Flow, out: &mut Outbox) {
     self.flows.insert(
       flow,
@@ -207,9 +234,10 @@
   }
 
   /// Gives agents that cannot say a packet to try. While others that may have the flow are silent it
-  /// is one: an open flow whose own agent's word was lost had packets at three other
-  /// targets, and its caller waited for an answer that none of them could give. Once nobody is
-  /// silent all are tried together, the flow's own among them.
+  /// is one: an open flow whose own agent's word was lost had packets at three other targets, and its
+  /// caller waited for an answer that none of them could give. Once nobody is silent all are tried
+  /// together, the flow's own among them. Where most have just started, as this process has, all
+  /// have lost power: somebody is silent for seconds then, and those that cannot say try at once.
   fn try_unsure(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
     let Some(service) = self.spread.catalog().service(&flow.route).cloned() else {
       return;
@@ -217,8 +245,9 @@
     let Some(mut search) = self.searches.remove(&flow) else {
       return;
     };
+    let all_started = search.is_mostly_unsure() && self.history.is_young(now);
     let mut agents = search.to_try();
-    if search.has_silent() {
+    if search.has_silent() && !all_started {
       let recent = |at: &Instant| now.saturating_duration_since(*at) < TRY_EVERY;
       let recent = self.tried.get(&flow).is_some_and(recent);
       agents.truncate(usize::from(!recent));
@@ -238,9 +267,9 @@
     let Some(search) = self.searches.get_mut(&flow) else {
       return;
     };
-    let narrow = !std::mem::replace(&mut search.wide, true);
-    search.waiting.retain(|agent| !targets.is_lost(now, *agent));
-    self.conclude(now, flow, out);
+    let narrow = !search.wide;
+    search.keep(|agent| !targets.is_lost(now, agent));
+    self.ask_rest(now, flow, out);
     let Some(search) = self.searches.get_mut(&flow) else {
       return;
     };
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -31,11 +31,11 @@
 /// What an agent knows of where else a flow may be.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Known {
-  /// The revision up to which it knows the list.
+  /// The revision up to which the asker has to know the list besides what is named here.
   pub complete: Revision,
   /// Targets of its service that left the list, by the addresses of their upstreams, and how long
   /// ago, in milliseconds: the platform may have dropped them while they live. Those on the list
-  /// too, where the asker knows another one.
+  /// too that are newer than what the asker knows.
   pub past: Vec<(SocketAddrV4, u32)>,
 }
 
