--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -11,6 +11,8 @@
 mod parking;
 mod place;
 mod questions;
+mod remembering;
+mod restarting;
 mod search;
 mod searching;
 mod targets;
--- a/src/datagram/balancer/absences.rs
+++ b/src/datagram/balancer/absences.rs
@@ -85,7 +85,7 @@
   }
 
   /// Agents that are to be greeted now.
-  pub fn to_greet(&mut self, now: Instant) -> Vec<SocketAddrV4> {
+  pub fn take_due(&mut self, now: Instant) -> Vec<SocketAddrV4> {
     let held = self.agents.iter_mut();
     let due =
       held.filter(|(_, absence)| !absence.packets.is_empty() && now >= absence.greeted + GREET);
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -17,7 +17,7 @@
     datagram::{
       Codec, Flow, Frame, Handover, Head, News, Origin, Outbox, Patience, Service, Settings,
       Spread, Tuning, Via, event,
-      frame::{PAST_MAX, Purpose, Role, Status},
+      frame::{Purpose, Role, Status},
     },
   },
   serde_json::json,
@@ -42,9 +42,6 @@
 /// goes before a deadline by 50 ms at most.
 const STILL: Duration = Duration::from_millis(150);
 
-/// How many flows one frame names.
-const HELD_MAX: usize = 64;
-
 /// How long the flows of an agent that has stopped are kept for its next run.
 const HANDED_KEPT: Duration = Duration::from_secs(30);
 
@@ -168,7 +165,7 @@
   }
 
   /// Sends a packet of an open flow where the flow is.
-  fn forward(
+  pub(super) fn forward(
     &mut self,
     now: Instant,
     head: &Head,
@@ -200,32 +197,6 @@
     }
   }
 
-  /// An agent is back, or is waited for no longer: what was held for it goes on.
-  fn returned(&mut self, now: Instant, agent: SocketAddrV4, out: &mut Outbox) {
-    let packets = self.absences.end(agent);
-    if !packets.is_empty() {
-      log::info!(agent:% = agent, packets = packets.len(); "balancer: held packets go on.");
-    }
-    for (head, packet) in packets {
-      if self.egress.paces(&head) && self.egress.push(head, &packet) {
-        continue;
-      }
-      if let Some(service) = self.spread.catalog().service(&head.flow.route).cloned() {
-        self.forward(now, &head, &service, &packet, out);
-      }
-    }
-  }
-
-  /// Greets agents that packets are held for, and gives up those that are not back in time.
-  fn await_absent(&mut self, now: Instant, out: &mut Outbox) {
-    for agent in self.absences.to_greet(now) {
-      self.spread.greet(now, Role::Balancer, agent, out);
-    }
-    for agent in self.absences.lost(now) {
-      self.returned(now, agent, out);
-    }
-  }
-
   /// Sends what waited for the link, as far as that has room.
   fn send_waiting(&mut self, now: Instant, out: &mut Outbox) {
     while let Some(Waiting { head, packet }) = self.egress.pop(now) {
@@ -354,64 +325,6 @@
     }
   }
 
-  /// Asks a balancer what left the list, while that is not known.
-  fn ask_past(&mut self, now: Instant, balancer: SocketAddrV4, out: &mut Outbox) {
-    if self.history.asks(now, balancer) {
-      out.frame(balancer, &Frame::AskPast, &[]);
-    }
-  }
-
-  /// Asks all balancers that are there and have not answered.
-  fn ask_all_past(&mut self, now: Instant, out: &mut Outbox) {
-    if self.history.is_known() || self.answered.is_empty() {
-      return;
-    }
-    for balancer in self.spread.present(now).collect::<Vec<_>>() {
-      self.ask_past(now, balancer, out);
-    }
-  }
-
-  /// Tells a balancer that has just started which targets have left the list.
-  fn tell_past(&self, now: Instant, to: SocketAddrV4, out: &mut Outbox) {
-    let past = self.targets.past(now, self.spread.catalog());
-    let known = self.history.is_known();
-    let parts = past.len().div_ceil(PAST_MAX).max(1);
-    for part in 0..parts {
-      let named = past.iter().skip(part * PAST_MAX).take(PAST_MAX);
-      let frame = Frame::Past {
-        known,
-        part: part as u16,
-        parts: parts as u16,
-        past: named.cloned().collect(),
-      };
-      out.frame(to, &frame, &[]);
-    }
-  }
-
-  /// An agent has started again: it is told which flows it had, by its own last word and as far
-  /// as known here.
-  pub(super) fn remind(&mut self, now: Instant, agent: SocketAddrV4, out: &mut Outbox) {
-    let there = self.flows.iter().filter(|(_, place)| place.is_at(agent));
-    let mut known = there.map(|(flow, _)| *flow).collect::<Vec<_>>();
-    // In one order, so that a run can be played again.
-    known.sort_unstable();
-    let handed = self.handed.remove(&agent);
-    log::info!(
-      agent:% = agent, flows = known.len(),
-      whole = handed.as_ref().is_some_and(|handed| handed.is_whole_at(now));
-      "balancer: agent has started again."
-    );
-    for part in known.chunks(HELD_MAX) {
-      let frame = Frame::Held {
-        flows: part.to_vec(),
-      };
-      out.frame(agent, &frame, &[]);
-    }
-    if let Some(handed) = handed {
-      handed.send(now, true, agent, out);
-    }
-  }
-
   pub(super) fn take_news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) {
     let change = self.spread.news(now, origin, news, out);
     self.changed(&change);
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -175,20 +175,6 @@
     self.reset(&flow, acknowledges, out);
   }
 
-  fn is_past_told(&self, now: Instant) -> bool {
-    self.history.is_told(now, self.spread.present(now))
-  }
-
-  /// Concludes searches whose agents have all answered, once the list or the past is known.
-  pub(super) fn conclude_answered(&mut self, now: Instant, out: &mut Outbox) {
-    if self.answered.is_empty() || !self.is_past_told(now) {
-      return;
-    }
-    for flow in std::mem::take(&mut self.answered) {
-      self.conclude(now, flow, out);
-    }
-  }
-
   pub(super) fn found(&mut self, now: Instant, from: SocketAddrV4, flow: Flow, out: &mut Outbox) {
     self.flows.insert(
       flow,
