Close data centres to new flows, and keep what is stated of cold targets

Cause: the operator's word that a data centre is to get nothing further was not understood, silently; a service's stated rate for cold targets neither. Both answer one question at both ends (may a new flow go there now?), which now stands in agent/admission.rs and balancer/cost.rs; hence one commit. Ruled out: balancers alone (one that has not heard sends on); agents alone (each flow would be tried four times); a bucket (lets twice the rate through in a second); taking the list's word for a run it does not know (an entry is a heartbeat old, and leaves while its target lives). Change: closures are records with revisions in the catalog; agents refuse and say why; balancers pass over the whole data centre on one agent's word; callers are told at once where all is closed. An agent slides a window over what a cold upstream is given, tells the room that is left in its load, grants within it.

--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -8,6 +8,7 @@
 /// Several frames in one datagram.
 pub mod bundle;
 mod catalog;
+mod closures;
 mod codec;
 mod configuration;
 /// What machines are told.
@@ -29,9 +30,11 @@
 mod spread;
 /// The platform's list of targets.
 pub mod target;
+mod warmup;
 
 pub use {
   catalog::{Catalog, Change, Entry},
+  closures::Closures,
   codec::Codec,
   configuration::{Configuration, Route, Version},
   event::{Event, Machine, Origin},
@@ -48,4 +51,5 @@
   settings::{Settings, Tuning, Upstream},
   spread::{Agents, Spread},
   target::Target,
+  warmup::Warmup,
 };
--- a/src/datagram/agent.rs
+++ b/src/datagram/agent.rs
@@ -1,6 +1,8 @@
 //! What an agent does with the packets of its upstream's flows, which it sees both ways.
 
+mod admission;
 mod answers;
+mod cold;
 mod delivery;
 mod granting;
 mod grants;
--- a/src/datagram/agent/answers.rs
+++ b/src/datagram/agent/answers.rs
@@ -26,13 +26,20 @@
       self.returned(now, &head, packet, out);
       return Ok(());
     }
-    self.work.heard();
+    self.heard(now);
     self.answered(now, &head, packet.len(), out);
     let to = SocketAddrV4::new(*head.flow.caller.ip(), self.port);
     out.packet(Via::Callers, to, packet);
     Ok(())
   }
 
+  /// The upstream said something. After a silence it may have been started again.
+  fn heard(&mut self, now: Instant) {
+    if self.work.heard(now) {
+      self.doubt(now);
+    }
+  }
+
   /// Learns from a packet on its way to a caller.
   pub(super) fn answered(&mut self, now: Instant, head: &Head, length: usize, out: &mut Outbox) {
     let flow = head.flow;
@@ -81,8 +88,12 @@
   /// The upstream sent a packet back.
   pub(super) fn returned(&mut self, now: Instant, head: &Head, packet: &[u8], out: &mut Outbox) {
     let flow = head.flow;
-    self.work.heard();
+    self.heard(now);
     let entry = self.flows.get(&flow).copied();
+    if !head.opens && entry.is_some_and(|entry| entry.state == State::Open) {
+      // It has forgotten what it had.
+      self.doubt(now);
+    }
     if let (true, Some(taken)) = (head.opens, entry.filter(Held::is_taken)) {
       // A late copy: what the upstream took before stays there.
       if let Some(balancer) = taken.balancer {
--- /dev/null
+++ b/src/datagram/agent/cold.rs
@@ -0,0 +1,116 @@
+use {
+  crate::{Revision, datagram::Warmup},
+  std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+  },
+};
+
+/// The span in which a cold upstream may be given so many new flows, wherever it begins.
+const SPAN: Duration = Duration::from_secs(1);
+
+/// What counts as stated until an agent that has just started has heard the configuration: fewer than
+/// an operator would state, and enough for the moment that it lasts.
+pub const UNKNOWN: Warmup = Warmup {
+  lasts: Duration::MAX,
+  per_second: 4,
+};
+
+/// How many entries of the window are kept at most.
+const KEPT_MAX: usize = u16::MAX as usize;
+
+/// Whether the upstream is cold, and what it was given in the last second. The platform's word of
+/// it is as old as a heartbeat, and an upstream may have turned cold without a word; it is then taken
+/// for cold until a newer word says otherwise, or for as long as being cold lasts.
+#[derive(Debug, Default)]
+pub struct Cold {
+  /// Since when the upstream may have turned cold without a word: what the platform wrote up to this
+  /// revision says nothing of it.
+  doubted: Option<(Instant, Revision)>,
+  /// When its data centre was last opened to new flows.
+  opened: Revision,
+  /// When it was given new flows, in the last span.
+  given: VecDeque<Instant>,
+  /// The last word of the platform.
+  heard: Revision,
+  /// Until when it is cold, by the platform's word.
+  until: Option<Instant>,
+}
+
+impl Cold {
+  /// What an agent that has just started knows of its upstream: it was started before, unless the whole
+  /// system starts for the first time.
+  pub fn new(now: Instant, first_start: bool) -> Self {
+    Self {
+      doubted: (!first_start).then_some((now, Revision::default())),
+      ..Self::default()
+    }
+  }
+
+  /// The upstream may have turned cold: nothing that the platform wrote up to `known` tells.
+  pub fn doubt(&mut self, now: Instant, known: Revision) {
+    self.doubted = Some((now, known.max(self.heard)));
+  }
+
+  /// When room that is used up comes back, where that is to be waited for.
+  pub fn deadline(&self, now: Instant, warmup: Option<Warmup>) -> Option<Instant> {
+    if self.room(now, warmup) != Some(0) {
+      return None;
+    }
+    let oldest = self.given.len().checked_sub(warmup?.per_second.into())?;
+    self.given.get(oldest).map(|at| *at + SPAN)
+  }
+
+  /// The upstream is given a new flow.
+  pub fn give(&mut self, now: Instant) {
+    let old = |at: &Instant| now.saturating_duration_since(*at) >= SPAN;
+    while self.given.len() >= KEPT_MAX || self.given.front().is_some_and(old) {
+      self.given.pop_front();
+    }
+    self.given.push_back(now);
+  }
+
+  /// The first list came, as of a revision: a doubt from before it stays.
+  pub fn list(&mut self, known: Revision) {
+    if let Some((_, before)) = &mut self.doubted {
+      *before = known.max(*before);
+    }
+  }
+
+  /// The platform's word at a revision: how much longer the upstream is cold.
+  pub fn learn(&mut self, now: Instant, revision: Revision, left: Duration) {
+    if revision <= self.heard {
+      return;
+    }
+    self.heard = revision;
+    self.until = (left > Duration::ZERO).then(|| now + left);
+    if self.doubted.is_some_and(|(_, known)| revision > known) {
+      self.doubted = None;
+    }
+  }
+
+  /// Its data centre is open to new flows, since a revision: it may have turned cold just before.
+  pub fn opened(&mut self, now: Instant, revision: Revision) {
+    if revision > self.opened {
+      self.opened = revision;
+      self.doubt(now, revision);
+    }
+  }
+
+  /// How many new flows the upstream may be given now: fewer than any second that it is cold in may
+  /// have; none where nothing bounds that. `warmup` is what the operator states of its service.
+  pub fn room(&self, now: Instant, warmup: Option<Warmup>) -> Option<u16> {
+    let Warmup { lasts, per_second } = warmup?;
+    let doubted = self
+      .doubted
+      .is_some_and(|(since, _)| now.saturating_duration_since(since) < lasts);
+    let cold = doubted || self.until.is_some_and(|until| now < until);
+    if !cold {
+      return None;
+    }
+    let recent = self.given.iter().rev();
+    let recent = recent.take_while(|at| now.saturating_duration_since(**at) < SPAN);
+    let given = recent.take(usize::from(per_second)).count();
+    Some(per_second - given as u16)
+  }
+}
--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -53,18 +53,12 @@
       self.counter.count(Code::PacketUnroutable);
       return;
     }
-    if self.leaving {
-      self.turn_away(now, carried, Refusal::Leaving, out);
+    if let Some(refusal) = self.refusal(now, &flow, carried.from) {
+      self.turn_away(now, carried, refusal, out);
       return;
     }
-    if !self.flows.contains_key(&flow) && !self.work.admits(now) {
-      self.turn_away(now, carried, Refusal::Down, out);
-      return;
-    }
-    let granted = self.grants.take(carried.from);
-    if !granted && self.is_too_long(&flow) && !self.flows.contains_key(&flow) {
-      self.turn_away(now, carried, Refusal::Busy, out);
-      return;
+    if !self.has(&flow) {
+      self.cold.give(now);
     }
     let entry = self
       .flows
--- a/src/datagram/agent/granting.rs
+++ b/src/datagram/agent/granting.rs
@@ -35,7 +35,7 @@
   pub(super) fn grant(&mut self, now: Instant, out: &mut Outbox) {
     let lapsed = self.grants.expire(now);
     self.counter.add("grants.lapsed", lapsed);
-    if self.leaving || self.grants.is_empty() {
+    if self.leaving || self.closed || self.grants.is_empty() {
       return;
     }
     let load = self.load(now);
@@ -45,7 +45,8 @@
     let slots = self.slots();
     let places = slots.saturating_add(slots.div_ceil(SLOTS_AHEAD));
     let taken = load.work.saturating_add(self.grants.kept());
-    for _ in taken..places {
+    let free = places.saturating_sub(taken);
+    for _ in 0..self.room(now).map_or(free, |room| room.min(free)) {
       let Some(balancer) = self.grants.next(now) else {
         return;
       };
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -1,5 +1,6 @@
 use {
   super::{
+    cold::Cold,
     grants::Grants,
     held::{Held, State},
     work::Work,
@@ -52,8 +53,12 @@
   /// How long callers take from an opening packet to their first request. Some have gone: an idle
   /// place was kept for each of them for 0.3 s.
   pub(super) arrival: Patience,
+  /// Whether the data centre is closed to new flows.
+  pub(super) closed: bool,
   pub(super) codec: C,
+  pub(super) cold: Cold,
   pub(super) counter: Arc<Counter>,
+  pub(super) data_centre: String,
   /// Opened flows whose first request is about to come, and until when they count as work.
   pub(super) expected: BTreeSet<(Instant, Flow)>,
   pub(super) expired: Instant,
@@ -64,6 +69,8 @@
   /// What the run before had, as balancers tell it.
   pub(super) handed: Handover,
   pub(super) leaving: bool,
+  /// When it was last told of the time.
+  pub(super) looked: Instant,
   pub(super) port: u16,
   pub(super) reported: (Instant, Load),
   /// How many requests the upstream works on at once; none before the list says so.
@@ -96,8 +103,11 @@
     };
     Self {
       arrival: Patience::new(tuning.expected.0, tuning.expected.1),
+      closed: false,
       codec,
+      cold: Cold::new(now, settings.first_start),
       counter,
+      data_centre: settings.data_centre.clone(),
       expected: BTreeSet::new(),
       expired: now,
       flows: HashMap::new(),
@@ -105,6 +115,7 @@
       grants: Grants::default(),
       handed: Handover::default(),
       leaving: false,
+      looked: now,
       port: settings.callers.port(),
       reported: (now, Load::default()),
       slots: None,
@@ -175,8 +186,13 @@
   }
 
   pub(super) fn take_news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) {
+    let first = self.spread.catalog().complete() == Revision::default();
     let change = self.spread.news(now, origin, news, out);
-    self.changed(&change);
+    if first {
+      // What it says of the upstream may be from before this start.
+      self.cold.list(self.spread.catalog().complete());
+    }
+    self.changed(now, &change);
   }
 
   /// A balancer says which flows this agent had before it started again, as far as it knows.
@@ -232,10 +248,11 @@
     }
   }
 
-  pub(super) fn changed(&mut self, change: &Change) {
+  pub(super) fn changed(&mut self, now: Instant, change: &Change) {
     if change.is_empty() {
       return;
     }
+    self.reconsider(now);
     let Some((id, entry)) = self.spread.catalog().at(self.upstream.address) else {
       return;
     };
@@ -251,7 +268,10 @@
   }
 
   pub(super) fn load(&self, now: Instant) -> Load {
-    self.work.load(now, self.flows.len())
+    Load {
+      room: self.room(now),
+      ..self.work.load(now, self.flows.len())
+    }
   }
 
   /// How many requests the upstream works on at once; one where that is not known.
@@ -260,6 +280,7 @@
   }
 
   pub(super) fn look(&mut self, now: Instant, out: &mut Outbox) {
+    self.looked = now;
     while let Some((deadline, flow)) = self.tests.front().copied() {
       if deadline > now {
         break;
@@ -286,7 +307,8 @@
     let load = self.load(now);
     let role = Role::Agent(load);
     let (reported, before) = self.reported;
-    let changed = load.work.abs_diff(before.work) > 0 || load.down != before.down;
+    let changed =
+      load.work != before.work || load.down != before.down || load.is_full(0) != before.is_full(0);
     if now >= self.spread.deadline() || (changed && now >= reported + self.tuning.report) {
       self.reported = (now, load);
       self.spread.tell_now(now, role, out);
@@ -318,7 +340,9 @@
 
   /// Whether the load differs from what was told.
   fn load_changed(&self) -> bool {
-    self.work.under_way() != self.reported.1.work
+    let (_, reported) = self.reported;
+    let full = self.room(self.looked) == Some(0);
+    self.work.under_way() != reported.work || full != reported.is_full(0)
   }
 }
 
@@ -333,7 +357,8 @@
     let expected = self.expected.first().map(|(deadline, _)| *deadline);
     let status = self.spread.deadline();
     let report = (self.load_changed()).then_some(self.reported.0 + self.tuning.report);
-    [expected, grant, report, test]
+    let room = self.cold.deadline(self.looked, self.warmup());
+    [expected, grant, report, room, test]
       .into_iter()
       .flatten()
       .fold(status, Instant::min)
@@ -344,6 +369,7 @@
     json!({
       "flows": self.flows.len(),
       "forgetful_ms": forgetful.as_millis() as u64,
+      "closed": self.closed,
       "granted": self.grants.kept(),
       "leaving": self.leaving,
       "load": self.load(now),
--- a/src/datagram/agent/work.rs
+++ b/src/datagram/agent/work.rs
@@ -123,9 +123,10 @@
     self.silent.get_or_insert(now);
   }
 
-  /// The upstream said something.
-  pub fn heard(&mut self) {
-    self.silent = None;
+  /// The upstream said something; whether it did not serve until then.
+  pub fn heard(&mut self, now: Instant) -> bool {
+    let silent = self.silent.take();
+    silent.is_some_and(|since| now.saturating_duration_since(since) >= SILENT)
   }
 
   /// How many requests are under way.
@@ -142,6 +143,7 @@
       bytes: whole(self.bytes) as u32,
       down: down || self.rests(now),
       flows: flows.min(usize::from(u16::MAX)) as u16,
+      room: None,
       service_ms: whole(self.service_ms) as u16,
       work: self.under_way,
     }
--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -4,6 +4,8 @@
 mod absences;
 mod announced;
 mod choosing;
+mod closures;
+mod cost;
 mod egress;
 mod history;
 mod machine;
--- /dev/null
+++ b/src/datagram/balancer/cost.rs
@@ -0,0 +1,100 @@
+//! Whether a new flow may go to a target, and at what cost.
+
+use {
+  super::targets::{LAPSED, Seen, Targets},
+  crate::{
+    config::Presence,
+    datagram::{Service, load::wait_ms},
+  },
+  smallvec::SmallVec,
+  std::time::{Duration, Instant},
+};
+
+/// How long a target that did not answer an opening packet is passed over, if its agent is heard
+/// of. It is tried again after that; the packet then goes on to the next after `open_wait`.
+const DOWN: Duration = Duration::from_secs(1);
+
+/// What a new flow would rather wait than go there, in milliseconds.
+const HASTY_MS: f64 = 150.0;
+
+/// A target whose answers take less than this part of what is typical of its service most likely
+/// fails them: an error is answered at once.
+const HASTY_PART: f64 = 0.25;
+
+/// The wait at a cold target that was given all it may be given now, in milliseconds: longer than any
+/// caller waits, and less than the cost of one that most likely does not serve.
+const FULL_MS: f64 = 5_000.0;
+
+/// How many targets have to be known for one to be told from the others.
+const TYPICAL_OF: usize = 3;
+
+/// A cost above any wait, in milliseconds: for targets that most likely do not serve.
+pub(super) const UNLIKELY_MS: f64 = 10_000.0;
+
+/// What makes the less busy of two targets the better one before anything waits, in milliseconds
+/// at full use.
+const USE_MS: f64 = 12.0;
+
+impl Targets {
+  /// What a new flow costs there, in milliseconds; none where it may not go.
+  pub(super) fn cost(&self, now: Instant, seen: &Seen, typical_ms: f64) -> Option<f64> {
+    if seen.presence == Presence::Leaving || self.closures.is_closed(now, &seen.data_centre) {
+      return None;
+    }
+    let mut cost = 0.0;
+    if let Some(gone) = seen.gone {
+      if now.saturating_duration_since(gone) >= LAPSED {
+        return None;
+      }
+      cost += 4.0 * UNLIKELY_MS;
+    }
+    let recently = |at: Instant| now.saturating_duration_since(at) < DOWN;
+    if seen.load.down || seen.unanswered.is_some_and(recently) {
+      cost += 2.0 * UNLIKELY_MS;
+    }
+    if seen.stopping || !self.is_heard(now, seen) {
+      cost += UNLIKELY_MS;
+    }
+    if is_hasty(seen, typical_ms) {
+      cost += HASTY_MS;
+    }
+    if seen.data_centre != self.data_centre {
+      let (always, by_kilobyte) = self.tuning.crossing;
+      cost += always + by_kilobyte * f64::from(seen.load.bytes) / 1024.0;
+    }
+    let work = f64::from(seen.load.work) + f64::from(seen.pending);
+    Some(cost + wait(seen) + USE_MS * work / f64::from(seen.slots))
+  }
+
+  /// The median of the times that the targets of a service take; 0 where too few are known.
+  pub(super) fn typical_ms(&self, service: &Service) -> f64 {
+    let known = self.by_agent.values();
+    let known = known.filter(|seen| seen.service == *service && seen.gone.is_none());
+    let times = known.map(|seen| seen.load.service_ms);
+    let mut times = times.filter(|ms| *ms > 0).collect::<SmallVec<[u16; 64]>>();
+    if times.len() < TYPICAL_OF {
+      return 0.0;
+    }
+    let middle = times.len() / 2;
+    let (_, median, _) = times.select_nth_unstable(middle);
+    f64::from(*median)
+  }
+}
+
+/// Whether a target answers far sooner than is typical of its service.
+pub(super) fn is_hasty(seen: &Seen, typical_ms: f64) -> bool {
+  let service_ms = f64::from(seen.load.service_ms);
+  service_ms > 0.0 && service_ms < typical_ms * HASTY_PART
+}
+
+/// The time until a request more would be answered there, in milliseconds.
+pub(super) fn wait(seen: &Seen) -> f64 {
+  if seen.load.is_full(seen.pending) {
+    return FULL_MS;
+  }
+  wait_ms(
+    f64::from(seen.load.service_ms),
+    seen.load.work.saturating_add(seen.pending),
+    seen.slots,
+  )
+}
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -75,6 +75,9 @@
     }
     let Some(choice) = choice else {
       log::info!(flow:% = flow, service:% = service; "balancer: flow has no target.");
+      if self.targets.is_shut(now, service) {
+        self.give_up(now, &flow, &opening, out);
+      }
       return Err(Code::PacketUnroutable);
     };
     // Where some wait, the loads known here are too old: up to 110 of 225 flows in 0.2 s were turned
@@ -238,8 +241,10 @@
       "balancer: flow is refused."
     );
     self.targets.loaded(now, from, load);
-    if !matches!(refusal, Refusal::Busy | Refusal::Leaving) {
-      self.targets.unanswered(now, from);
+    match refusal {
+      Refusal::Busy | Refusal::Cold | Refusal::Leaving => {}
+      Refusal::Closed => self.targets.closed(now, from),
+      Refusal::Down | Refusal::Full | Refusal::Service => self.targets.unanswered(now, from),
     }
     let here = self.flows.get(&flow);
     if here.is_some_and(|place| place.agent == from && matches!(place.state, State::Opening(_))) {
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -1,8 +1,9 @@
 use {
+  super::closures::Closures,
   crate::{
     config::Presence,
     datagram::{
-      Agents, Catalog, Entry, Load, Service, Tuning,
+      Agents, Catalog, Entry, Load, Service, Tuning, Warmup,
       frame::{Gone, Status},
     },
   },
@@ -94,6 +95,7 @@
 #[derive(Debug)]
 pub struct Targets {
   pub(super) by_agent: BTreeMap<SocketAddrV4, Seen>,
+  pub(super) closures: Closures,
   pub(super) data_centre: String,
   port: u16,
   /// Targets that left the list before this process knew them, by what agents and peers say.
@@ -101,6 +103,8 @@
   pub(super) services: BTreeMap<Service, Vec<SocketAddrV4>>,
   started: Instant,
   pub(super) tuning: Tuning,
+  /// What is stated of cold targets.
+  pub(super) warmups: BTreeMap<Service, Warmup>,
 }
 
 impl Targets {
@@ -108,12 +112,14 @@
   pub fn new(now: Instant, data_centre: String, port: u16, tuning: &Tuning) -> Self {
     Self {
       by_agent: BTreeMap::new(),
+      closures: Closures::default(),
       data_centre,
       past: BTreeMap::new(),
       port,
       services: BTreeMap::new(),
       started: now,
       tuning: *tuning,
+      warmups: BTreeMap::new(),
     }
   }
 
@@ -230,6 +236,23 @@
     }
   }
 
+  /// An agent refuses new flows, since its data centre is closed.
+  pub fn closed(&mut self, now: Instant, agent: SocketAddrV4) {
+    if let Some(seen) = self.by_agent.get(&agent) {
+      self.closures.hear(now, &seen.data_centre);
+    }
+  }
+
+  /// Whether a service has targets, and all are in data centres that are closed: no new flow can go
+  /// anywhere.
+  pub fn is_shut(&self, now: Instant, service: &Service) -> bool {
+    let listed = self.by_agent.values();
+    let mut listed = listed
+      .filter(|seen| seen.service == *service && seen.gone.is_none())
+      .peekable();
+    listed.peek().is_some() && listed.all(|seen| self.closures.is_closed(now, &seen.data_centre))
+  }
+
   /// An opening packet was sent.
   pub fn placed(&mut self, agent: SocketAddrV4) {
     if let Some(seen) = self.by_agent.get_mut(&agent) {
@@ -304,6 +327,9 @@
 
   /// Takes the list as it is now.
   pub fn update(&mut self, catalog: &Catalog) {
+    self.closures.update(catalog.closures());
+    let configuration = catalog.configuration();
+    self.warmups = configuration.map_or_else(BTreeMap::new, |held| held.warmups.clone());
     let mut before = std::mem::take(&mut self.by_agent);
     self.services.clear();
     let mut newest: HashMap<SocketAddrV4, &Entry> = HashMap::new();
--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -33,7 +33,7 @@
     choice: Option<Choice>,
     out: &mut Outbox,
   ) -> Result<(), Code> {
-    if (self.parking.len(service) as f64) < self.room(service) {
+    if (self.parking.len(service) as f64) < self.room(now, service) {
       log::info!(
         flow:% = flow, service:% = service, wait_ms:? = choice.map(|choice| choice.wait_ms),
         before = self.parking.len(service);
@@ -64,13 +64,13 @@
   /// One more would wait in vain and is told at once. Callers do not come to all balancers alike, so
   /// each may fill the room alone: with an equal share for each, 123 of 155 failed requests were of
   /// callers of a data centre with one balancer of five.
-  fn room(&self, service: &Service) -> f64 {
-    self.targets.rate(service) * C::PATIENCE.as_secs_f64()
+  fn room(&self, now: Instant, service: &Service) -> f64 {
+    self.targets.rate(now, service) * C::PATIENCE.as_secs_f64()
   }
 
   /// Forgets a flow that no target was given, as far as this process knows, and tells its caller;
   /// but not where a copy that did not come here may have had it opened by another balancer.
-  fn give_up(&mut self, now: Instant, flow: &Flow, opening: &Opening, out: &mut Outbox) {
+  pub(super) fn give_up(&mut self, now: Instant, flow: &Flow, opening: &Opening, out: &mut Outbox) {
     let age = now.saturating_duration_since(opening.began);
     // Half a gap for the time that packets take.
     let missed = opening.copy + 1 < C::COPIES && age >= C::GAP / 2;
@@ -233,9 +233,14 @@
     }
   }
 
-  /// Gives up flows whose callers do so themselves before a target's answer could reach them.
+  /// Gives up flows whose callers do so themselves before a target's answer could reach them, and all
+  /// where no target may be given any.
   fn expire_parked(&mut self, now: Instant, lane: &Lane, out: &mut Outbox) {
-    let life = C::PATIENCE.saturating_sub(ANSWER);
+    let life = if self.targets.is_shut(now, &lane.service) {
+      Duration::ZERO
+    } else {
+      C::PATIENCE.saturating_sub(ANSWER)
+    };
     while let Some(parked) = self.parking.oldest(lane) {
       let (first, flow) = parked;
       if now < first + life {
--- a/src/datagram/catalog.rs
+++ b/src/datagram/catalog.rs
@@ -1,8 +1,8 @@
 use {
-  super::{Configuration, News, Record, Route, Service, Target, target},
+  super::{Closures, Configuration, News, Record, Route, Service, Target, Warmup, target},
   crate::Revision,
   std::{
-    collections::{BTreeMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     net::SocketAddrV4,
     sync::Arc,
     time::{Duration, Instant},
@@ -27,6 +27,7 @@
 /// never goes back to an older record, whoever offers it.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
+  closures: Closures,
   complete: Revision,
   configuration: Option<(Revision, Arc<Configuration>)>,
   /// What left the list up to this revision may not be known here.
@@ -37,6 +38,8 @@
 /// What news changed.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Change {
+  /// Whether a data centre was closed, or opened again.
+  pub closures: bool,
   /// Whether a configuration came into force.
   pub configuration: bool,
   /// The targets whose entry changed.
@@ -46,11 +49,16 @@
 impl Change {
   /// Whether nothing changed.
   pub fn is_empty(&self) -> bool {
-    !self.configuration && self.targets.is_empty()
+    !self.closures && !self.configuration && self.targets.is_empty()
   }
 }
 
 impl Catalog {
+  /// Which data centres are closed to new flows.
+  pub fn closures(&self) -> &Closures {
+    &self.closures
+  }
+
   /// The revision up to which nothing is missing.
   pub fn complete(&self) -> Revision {
     self.complete
@@ -97,7 +105,7 @@
     let mut change = Change::default();
     // A whole list from before what is known would drop targets that came since.
     let whole = news.after.is_none() && news.to >= self.complete;
-    let listed = whole.then(|| listed(&news));
+    let listed = whole.then(|| Listed::of(&news));
     if self.complete == Revision::default() {
       self.removals_from = news.to;
     }
@@ -133,6 +141,7 @@
       configuration: held.as_ref().clone(),
       revision: *revision,
     });
+    let closures = self.closures.since(oldest);
     let targets = self.targets.iter();
     let targets = targets.filter(|(_, entry)| entry.revision > oldest);
     let targets = targets.map(|(id, entry)| Record::Target {
@@ -142,11 +151,16 @@
     });
     News {
       after: (!whole).then_some(after),
-      records: configuration.chain(targets).collect(),
+      records: closures.chain(configuration).chain(targets).collect(),
       to: self.complete,
     }
   }
 
+  /// What cold targets of a service may be given; none where nothing is stated.
+  pub fn warmup(&self, service: &Service) -> Option<Warmup> {
+    self.configuration()?.warmups.get(service).copied()
+  }
+
   /// The version in force.
   pub fn version(&self) -> super::Version {
     self
@@ -157,6 +171,11 @@
 
   fn take(&mut self, now: Instant, record: Record, change: &mut Change) {
     match record {
+      Record::Closure {
+        closed,
+        data_centre,
+        revision,
+      } => change.closures |= self.closures.take(data_centre, closed, revision),
       Record::Configuration {
         configuration,
         revision,
@@ -208,15 +227,10 @@
   }
 
   /// What a whole list no longer names has left it.
-  fn drop_unlisted(
-    &mut self,
-    now: Instant,
-    to: Revision,
-    listed: &HashSet<target::Id>,
-    change: &mut Change,
-  ) {
+  fn drop_unlisted(&mut self, now: Instant, to: Revision, listed: &Listed, change: &mut Change) {
+    change.closures |= self.closures.drop_unlisted(to, &listed.closed);
     for (id, entry) in &mut self.targets {
-      if entry.gone.is_none() && entry.revision < to && !listed.contains(id) {
+      if entry.gone.is_none() && entry.revision < to && !listed.targets.contains(id) {
         entry.gone = Some(now);
         entry.revision = to;
         change.targets.push(id.clone());
@@ -225,12 +239,27 @@
   }
 }
 
-fn listed(news: &News) -> HashSet<target::Id> {
-  let records = news.records.iter();
-  records
-    .filter_map(|record| match record {
-      Record::Target { id, .. } => Some(id.clone()),
-      Record::Configuration { .. } => None,
-    })
-    .collect()
+/// What a whole list names.
+#[derive(Default)]
+struct Listed {
+  closed: BTreeSet<String>,
+  targets: HashSet<target::Id>,
+}
+
+impl Listed {
+  fn of(news: &News) -> Self {
+    let mut listed = Self::default();
+    for record in &news.records {
+      match record {
+        Record::Closure { data_centre, .. } => {
+          listed.closed.insert(data_centre.clone());
+        }
+        Record::Configuration { .. } => {}
+        Record::Target { id, .. } => {
+          listed.targets.insert(id.clone());
+        }
+      }
+    }
+    listed
+  }
 }
--- a/src/datagram/configuration.rs
+++ b/src/datagram/configuration.rs
@@ -1,5 +1,5 @@
 use {
-  crate::datagram::Service,
+  crate::datagram::{Service, Warmup},
   serde::{Deserialize, Serialize},
   std::{
     collections::BTreeMap,
@@ -53,4 +53,6 @@
   pub routes: BTreeMap<SocketAddrV4, Route>,
   /// The operator's count.
   pub version: Version,
+  /// What cold targets of a service may be given, where that is stated.
+  pub warmups: BTreeMap<Service, Warmup>,
 }
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -6,7 +6,7 @@
 };
 
 /// The first byte of a frame: the version of the layout.
-const VERSION: u8 = 0xd2;
+const VERSION: u8 = 0xd3;
 
 /// The largest frame that is sent with news in it, in bytes: it fits a common datagram.
 pub const NEWS_MAX: usize = 1200;
@@ -63,6 +63,10 @@
   Service,
   /// The upstream breaks off what it is given.
   Down,
+  /// The upstream's data centre is closed to new flows.
+  Closed,
+  /// The upstream is cold and was given all that it may be given now.
+  Cold,
 }
 
 /// What a process is.
--- a/src/datagram/load.rs
+++ b/src/datagram/load.rs
@@ -9,6 +9,8 @@
   pub down: bool,
   /// Flows that are open.
   pub flows: u16,
+  /// How many new flows the upstream may be given now; none where nothing bounds that.
+  pub room: Option<u16>,
   /// The time that the upstream takes for a request that did not wait, in milliseconds.
   pub service_ms: u16,
   /// Requests that the upstream has and has not answered.
@@ -19,6 +21,11 @@
 const SERVICE_MS: f64 = 40.0;
 
 impl Load {
+  /// Whether the upstream may be given no new flow but those that are on their way.
+  pub fn is_full(&self, pending: u16) -> bool {
+    self.room.is_some_and(|room| room <= pending)
+  }
+
   /// The time that a request takes that does not wait, in milliseconds: measured or assumed.
   pub fn time_ms(&self) -> f64 {
     assumed(f64::from(self.service_ms))
--- a/src/datagram/record.rs
+++ b/src/datagram/record.rs
@@ -7,6 +7,15 @@
 /// One fact of the platform at a revision.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Record {
+  /// Whether a data centre is closed to new flows.
+  Closure {
+    /// Whether it is.
+    closed: bool,
+    /// Its name.
+    data_centre: String,
+    /// The platform's revision.
+    revision: Revision,
+  },
   /// The configuration in force.
   Configuration {
     /// The configuration.
@@ -29,7 +38,9 @@
   /// The platform's revision.
   pub fn revision(&self) -> Revision {
     match self {
-      Self::Configuration { revision, .. } | Self::Target { revision, .. } => *revision,
+      Self::Closure { revision, .. }
+      | Self::Configuration { revision, .. }
+      | Self::Target { revision, .. } => *revision,
     }
   }
 }
--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -243,7 +243,8 @@
     if let (true, Origin::Peer(from)) = (missing, origin) {
       self.want(now, from, to);
     }
-    if origin == Origin::Platform && !change.is_empty() {
+    // Who is told of nothing new still learns that the platform was read up to here, and need not ask.
+    if origin == Origin::Platform && self.catalog.complete() > after {
       self.push(now, after, out);
     }
     change
--- a/src/datagram/target.rs
+++ b/src/datagram/target.rs
@@ -8,6 +8,7 @@
     net::SocketAddrV4,
     str::FromStr,
     sync::Arc,
+    time::Duration,
   },
 };
 
@@ -56,4 +57,6 @@
   pub service: Service,
   /// How many requests it works on at once.
   pub slots: u16,
+  /// How much longer it was cold when the platform wrote this.
+  pub warmup_left: Duration,
 }
--- a/tests/datagram/main.rs
+++ b/tests/datagram/main.rs
@@ -5,6 +5,8 @@
 mod balancing;
 mod bundle;
 mod catalog;
+mod closures;
+mod cold;
 mod frame;
 mod grants;
 mod link;
--- a/tests/datagram/random_run.rs
+++ b/tests/datagram/random_run.rs
@@ -287,6 +287,61 @@
   }
 }
 
+/// One more fault, or a data centre that is closed or opened.
+fn disturb_zones(world: &mut World) {
+  let data_centre = ["default", "elsewhere"][world.rng.random_range(0..2)];
+  match world.rng.random_range(0..4) {
+    0 => world.close(data_centre),
+    1 => world.open(data_centre),
+    2 => {
+      // Closed, opened and closed within a second.
+      for _ in 0..3 {
+        world.close(data_centre);
+        let ms = world.rng.random_range(1..300);
+        world.run(ms);
+        world.open(data_centre);
+      }
+      world.close(data_centre);
+    }
+    _ => disturb(world),
+  }
+}
+
+/// Two data centres that are closed and opened under faults; cold upstreams get what the operator
+/// states. More calls come than cold upstreams take.
+fn play_zones(seed: u64) {
+  let mut world = started(World::zoned(seed));
+  for _ in 0..60 {
+    for _ in 0..world.rng.random_range(1..30) {
+      let route = world.rng.random_range(1..3);
+      world.call(route, 2);
+    }
+    let ms = world.rng.random_range(10..400);
+    world.run(ms);
+    if world.rng.random_bool(0.4) {
+      disturb_zones(&mut world);
+    }
+    if world.rng.random_bool(0.1) {
+      // Long enough for the bound of what is closed.
+      world.run(7000);
+    }
+  }
+  world.store(true);
+  for data_centre in ["default", "elsewhere"] {
+    world.open(data_centre);
+  }
+  mend(&mut world);
+  assert!(world.is_level(), "seed {seed}: a process is behind");
+  is_well(&mut world, seed);
+}
+
+#[test]
+fn closed_data_centres_and_cold_upstreams_get_no_more_than_they_may() {
+  for seed in 0..96 {
+    play_zones(seed);
+  }
+}
+
 /// Demand beyond what targets can take, and then all machines without power, often with the store
 /// away; frames are lost, and come twice and late, those of a former run too.
 fn play_power(seed: u64) {
@@ -346,5 +401,6 @@
     play(seed);
     play_in(bootstrapped(seed), seed);
     play_power(seed);
+    play_zones(seed);
   }
 }
--- a/tests/datagram/support.rs
+++ b/tests/datagram/support.rs
@@ -6,7 +6,7 @@
     counter::Counter,
     datagram::{
       Configuration, Event, Flow, Frame, Machine, News, Origin, Outbox, Rate, Record, Route,
-      Service, Settings, Target, Tuning, Upstream, Version, Via, agent, balancer,
+      Service, Settings, Target, Tuning, Upstream, Version, Via, Warmup, agent, balancer,
     },
   },
   std::{
@@ -72,6 +72,7 @@
       .map(|(number, service)| (route(*number), route_to(service)))
       .collect::<BTreeMap<_, _>>(),
     version: Version(version),
+    warmups: BTreeMap::new(),
   }
 }
 
@@ -95,6 +96,24 @@
   }
 }
 
+/// The record of a configuration that states what cold targets of service `a` may be given.
+pub fn configured_cold(
+  revision: u64,
+  version: u64,
+  routes: &[(u8, &str)],
+  lasts: Duration,
+  per_second: u16,
+) -> Record {
+  let mut configuration = configuration(version, routes);
+  let service = "a".parse().expect("a name");
+  let warmup = Warmup { lasts, per_second };
+  configuration.warmups.insert(service, warmup);
+  Record::Configuration {
+    configuration,
+    revision: Revision(revision),
+  }
+}
+
 /// The record of a target on an instance.
 pub fn listed(revision: u64, id: &str, host: u8, service: &str, presence: Presence) -> Record {
   Record::Target {
@@ -106,10 +125,24 @@
       presence,
       service: service.parse().expect("a name"),
       slots: 4,
+      warmup_left: Duration::ZERO,
     }),
   }
 }
 
+/// The record of a target that is cold for so much longer.
+pub fn warming(revision: u64, id: &str, host: u8, service: &str, left: Duration) -> Record {
+  let mut record = listed(revision, id, host, service, Presence::Live);
+  if let Record::Target {
+    target: Some(target),
+    ..
+  } = &mut record
+  {
+    target.warmup_left = left;
+  }
+  record
+}
+
 /// The record of a target in another data centre.
 pub fn elsewhere(revision: u64, id: &str, host: u8, service: &str) -> Record {
   let mut record = listed(revision, id, host, service, Presence::Live);
@@ -123,6 +156,15 @@
   record
 }
 
+/// The record of a data centre that is closed to new flows, or opened again.
+pub fn closure(revision: u64, data_centre: &str, closed: bool) -> Record {
+  Record::Closure {
+    closed,
+    data_centre: data_centre.into(),
+    revision: Revision(revision),
+  }
+}
+
 /// The record of a target that has left the list.
 pub fn unlisted(revision: u64, id: &str) -> Record {
   Record::Target {
--- a/tests/datagram/world.rs
+++ b/tests/datagram/world.rs
@@ -1,3 +1,5 @@
+mod zones;
+
 use {
   crate::{
     plain::{Kind, Packet, Plain},
@@ -64,6 +66,7 @@
 }
 
 enum Item {
+  Beat(u8),
   Caller(Flow, u64),
   Frame(u8, SocketAddrV4, Vec<u8>),
   News(u8, Origin, News),
@@ -112,6 +115,8 @@
   /// How many of them may.
   strays_max: u32,
   version: u64,
+  /// Its data centres and cold upstreams, in a world that has more than one.
+  zones: Option<zones::Zones>,
 }
 
 impl World {
@@ -121,7 +126,15 @@
   }
 
   fn begun(seed: u64, bootstraps: bool, farewell: u64) -> Self {
-    let mut world = Self {
+    let mut world = Self::empty(seed, bootstraps, farewell);
+    for host in 1..=3 {
+      world.start_balancer(host);
+    }
+    world
+  }
+
+  fn empty(seed: u64, bootstraps: bool, farewell: u64) -> Self {
+    Self {
       asked: HashMap::new(),
       base: Instant::now(),
       beside: BTreeMap::new(),
@@ -148,11 +161,8 @@
       strays: HashMap::new(),
       strays_max: u32::MAX,
       version: 0,
-    };
-    for host in 1..=3 {
-      world.start_balancer(host);
+      zones: None,
     }
-    world
   }
 
   /// A world that begins with the system's first start, so that its agents know all flows, and
@@ -166,6 +176,7 @@
     self.fault();
     self.starts += 1;
     let settings = Settings {
+      data_centre: self.data_centre(host).into(),
       first_start: self.bootstraps && self.now == 0,
       seeds: (1..=3).map(peer).collect(),
       ..settings(host)
@@ -183,6 +194,7 @@
     self.fault();
     self.starts += 1;
     let settings = Settings {
+      data_centre: self.data_centre(host).into(),
       // Nothing ran before the world's first moment, so that these know all flows.
       first_start: self.bootstraps && self.now == 0,
       seeds: (1..=3).map(peer).collect(),
@@ -216,8 +228,10 @@
       },
     );
     self.start_agent(host);
+    self.cool(host);
     let revision = self.raise();
-    let record = listed(revision, &id, host, service, Presence::Live);
+    let mut record = listed(revision, &id, host, service, Presence::Live);
+    self.place_record(host, &mut record);
     self.records.insert(id, record);
   }
 
@@ -242,7 +256,8 @@
     beside.leaving_since.get_or_insert(self.now);
     let (id, service) = (String::from(beside.id.clone()), beside.service);
     let revision = self.raise();
-    let record = listed(revision, &id, host, service, Presence::Leaving);
+    let mut record = listed(revision, &id, host, service, Presence::Leaving);
+    self.place_record(host, &mut record);
     self.records.insert(id, record);
   }
 
@@ -283,6 +298,7 @@
     self.version += 1 + self.version % 3;
     let revision = self.raise();
     let record = configured(revision, self.version, routes);
+    let record = self.stated(routes, revision, record);
     self.records.insert("configuration".into(), record);
   }
 
@@ -372,7 +388,7 @@
 
   /// Whether every process knows all that the store holds.
   pub fn is_level(&mut self) -> bool {
-    let revision = Revision(self.revision);
+    let revision = self.newest();
     let mut nodes = self.nodes.values_mut();
     nodes.all(|node| node.machine().spread().catalog().complete() == revision)
   }
@@ -422,6 +438,7 @@
 
   fn play(&mut self, item: Item) {
     match item {
+      Item::Beat(host) => self.beat(host),
       Item::Caller(flow, timer) => self.ask(flow, timer),
       Item::Frame(host, from, bytes) => self.step(
         host,
@@ -467,8 +484,7 @@
       let whole = complete == Revision(0);
       let records = self.records.values();
       let records = records.filter(|record| record.revision() > complete);
-      let present =
-        records.filter(|record| !whole || !matches!(record, Record::Target { target: None, .. }));
+      let present = records.filter(|record| !whole || Self::is_shown(record));
       let news = News {
         after: (!whole).then_some(complete),
         records: present.cloned().collect(),
@@ -632,6 +648,9 @@
     let flow = packet.flow;
     let calm = self.is_calm();
     self.count_stray(host, &packet);
+    if packet.kind == Kind::Open && self.beside.get(&host).is_some_and(|beside| beside.lives) {
+      self.count_opening(host, packet.flow, calm);
+    }
     let Some(beside) = self.beside.get_mut(&host).filter(|beside| beside.lives) else {
       return;
     };
