Hold the first request in the upstream until the agent is frozen

Cause: the test of KNOWN-RED.txt lets a request work for 1.5 s and freezes the agent once it is seen running; beside load the freeze could come after its end, so that the next one had begun, truthfully. Ruled out: the agent (words told were true in the run that failed). Change: the stand-in holds a request until it is released; the test releases it while the agent is frozen past all deadlines. The assertions stay as they were: one ran, every word is true.

--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -14,6 +14,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
   },
+  tokio::sync::watch,
 };
 
 type Feed = Pin<Box<dyn futures::Stream<Item = Result<Frame<Bytes>, Infallible>> + Send>>;
@@ -23,11 +24,14 @@
 ///
 /// `GET /feed?interval_ms=N` never ends; `GET /bytes?n=N` answers with N bytes; `GET /journal`
 /// shows the journal; `POST` with an `Idempotency-Key` runs once for each time that it arrives,
-/// for `work_ms` of the query; any other `POST` answers with the length of its body.
+/// for `work_ms` of the query, and with `held=1` until somebody asks for `GET /release`; any other
+/// `POST` answers with the length of its body.
 #[derive(Debug)]
 pub struct Upstream {
   journal: Mutex<BTreeMap<String, u64>>,
   name: String,
+  /// Whether requests that are held go on.
+  released: watch::Sender<bool>,
   /// How many times as long as asked it works.
   slowness: u32,
 }
@@ -38,6 +42,7 @@
     let upstream = Arc::new(Self {
       journal: Mutex::default(),
       name,
+      released: watch::Sender::new(false),
       slowness,
     });
     web::serve(address, move |request: Request<Incoming>| {
@@ -61,6 +66,10 @@
       return match path.as_str() {
         "/bytes" => whole(vec![b'x'; number("n", 0) as usize]),
         "/feed" => self.feed(Duration::from_millis(number("interval_ms", 100))),
+        "/release" => {
+          self.released.send_replace(true);
+          whole("true")
+        }
         "/journal" => whole(json!(*self.lock()).to_string()),
         _ => whole(format!("{} {path}", self.name)),
       };
@@ -75,6 +84,14 @@
       *self.lock().entry(key.clone()).or_default() += 1;
     }
     tokio::time::sleep(work).await;
+    if number("held", 0) == 1 {
+      // It ends with the upstream, which holds the sender.
+      let _ = self
+        .released
+        .subscribe()
+        .wait_for(|released| *released)
+        .await;
+    }
     whole(json!({ "key": key, "length": length, "name": self.name }).to_string())
   }
 
--- a/tests/integration/requests.rs
+++ b/tests/integration/requests.rs
@@ -36,15 +36,18 @@
   work_ms: u64,
   attempt: u32,
 ) -> Result<Answer, Fault> {
+  confirm_at(fleet, &format!("/confirm?work_ms={work_ms}"), key, attempt).await
+}
+
+async fn confirm_at(fleet: &Fleet, path: &str, key: &str, attempt: u32) -> Result<Answer, Fault> {
   let caller = fleet.try_caller(1).await?;
-  let path = format!("/confirm?work_ms={work_ms}");
   let attempt = attempt.to_string();
   let headers = [
     ("idempotency-key", key),
     ("fallwell-attempt", attempt.as_str()),
   ];
   let limit = Duration::from_secs(15);
-  let request = caller.request(Method::POST, &path, &headers, "parcel");
+  let request = caller.request(Method::POST, path, &headers, "parcel");
   let answer = tokio::time::timeout(limit, request).await;
   caller.close().await;
   answer.map_err(|error| Fault::new(fallwell::Code::RequestOutcomeUnknown, error))?
@@ -250,15 +253,18 @@
   assert_truthful(&told, &journal(&fleet, 4).await);
 }
 
-/// One slot: the others wait when the agent freezes, and their time is over when it thaws.
+/// One slot: the others wait when the agent freezes, and their time is over when it thaws. The first
+/// is held by the upstream, so that it cannot end before the agent freezes.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_agent_that_slept_through_deadlines_runs_nothing_that_it_refuses() {
   let fleet = Fleet::new().balancers(1).service(1, 1).slots(1);
-  let fleet = fleet.deadline_ms(2000).start().await;
+  let fleet = fleet.deadline_ms(3000).start().await;
   let keys = (0..3)
     .map(|index| format!("key-{index}"))
     .collect::<Vec<_>>();
-  let calls = keys.iter().map(|key| confirm_once(&fleet, key, 1500, 1));
+  let calls = keys
+    .iter()
+    .map(|key| confirm_at(&fleet, "/confirm?held=1", key, 1));
   let frozen = async {
     until("one runs and two wait", || async {
       let path = &fleet.agent_state(1, 1).await["path"];
@@ -266,7 +272,8 @@
     })
     .await;
     fleet.freeze_agent(1, 1);
-    tokio::time::sleep(Duration::from_secs(3)).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    get(fleet.upstream_address(1, 1), "/release").await;
     fleet.thaw_agent(1, 1);
   };
   let (answers, ()) = tokio::join!(futures::future::join_all(calls), frozen);
