Say by name what an operator orders and this version does not know

Ruled out: refusing the whole configuration (a newer platform would stop older processes). Change: a key of the operator's or a field of the configuration without a meaning here is logged once (F110); fields that speak of what is inside flows are listed as known. The state, and the services shown by the resource API, say what is closed. Routes that name regions (AllowedRegions) are not obeyed yet, and are logged.

--- a/src/code.rs
+++ b/src/code.rs
@@ -53,6 +53,7 @@
   DocumentIdMismatch = 107, "document's id differs from its key";
   DocumentAddressTaken = 108, "address belongs to a service with a lower id";
   RevisionOlder = 109, "revision is not newer than the one held";
+  DocumentOrderUnknown = 110, "key or field is not known to this version and has no effect";
   SettingsUnreadable = 121, "settings file cannot be read";
   SettingsInvalid = 122, "settings are not valid";
   ArgumentInvalid = 131, "argument is not valid";
--- a/src/datagram/node/resource.rs
+++ b/src/datagram/node/resource.rs
@@ -32,9 +32,13 @@
   let listed = entries.filter(|(_, entry)| entry.gone.is_none());
   let listed = listed.collect::<Vec<_>>();
   let leaving = listed.iter().filter(|(_, entry)| is_leaving(entry)).count();
+  let closures = catalog.closures();
+  let is_closed = |entry: &Entry| closures.is_closed(&entry.target.data_centre);
+  let closed = listed.iter().filter(|(_, entry)| is_closed(entry)).count();
   let targets = listed.iter().map(|(id, entry)| {
     json!({
       "address": entry.target.address,
+      "closed": is_closed(entry),
       "data_centre": entry.target.data_centre,
       "id": id.to_string(),
       "leaving": is_leaving(entry),
@@ -49,6 +53,7 @@
   json!({
     "conditions": {
       "accepted": { "status": configuration.is_some() },
+      "closed": { "status": closed > 0, "targets": closed },
       "draining": { "status": leaving > 0, "targets": leaving },
       "in_force": { "status": !routes.is_empty() },
     },
--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -300,6 +300,7 @@
     });
     json!({
       "address": self.address.to_string(),
+      "closed": self.catalog.closures().closed().collect::<Vec<_>>(),
       "complete": self.catalog.complete(),
       "confirmed_ms": self.confirmed.map(age),
       "incarnation": self.incarnation,
