--- a/src/command/wait.rs
+++ b/src/command/wait.rs
@@ -5,6 +5,7 @@
     id,
   },
   pico_args::Arguments,
+  serde_json::Value,
   std::{
     fmt::{self, Display, Formatter},
     net::SocketAddr,
@@ -16,17 +17,23 @@
 pub const HELP: &str = "\
 usage: fallwell wait --api ADDRESS... --service ID --generation N [--timeout SECONDS]
        fallwell wait --api ADDRESS... --version N [--timeout SECONDS]
+       fallwell wait --api ADDRESS... --closed NAME [--timeout SECONDS]
 
 Waits until a generation of a service, or a version of the configuration of datagram services, is
-in force at every process named, and fails with who lags and why when it is not in time.
+in force at every process named, or until each knows that a data centre is closed to new flows, and
+fails with who lags and why when it is not in time.
 
   --api ADDRESS       the resource API of a process; may be given many times
+  --closed NAME       the data centre
   --generation N      the generation that the document states
   --service ID        the service
   --timeout SECONDS   how long to wait (10)
   --version N         the version of the configuration
 ";
 
+/// What is said of a process of another kind.
+const WITHOUT_DATAGRAMS: &str = "found no version: it carries no datagram services";
+
 /// How often the processes are asked.
 const STEP: Duration = Duration::from_millis(50);
 
@@ -65,12 +72,16 @@
 
 /// What is to be in force.
 enum Wanted {
+  Closed(String),
   Generation(id::Service, u64),
   Version(u64),
 }
 
 impl Wanted {
   fn take(arguments: &mut Arguments) -> Result<Self, Fault> {
+    if let Some(closed) = arguments.opt_value_from_str("--closed").map_err(invalid)? {
+      return Ok(Self::Closed(closed));
+    }
     if let Some(version) = arguments.opt_value_from_str("--version").map_err(invalid)? {
       return Ok(Self::Version(version));
     }
@@ -82,6 +93,7 @@
   /// Why a process does not have it in force; none where it has.
   async fn lag(&self, api: SocketAddr) -> Option<String> {
     match self {
+      Self::Closed(data_centre) => lag_of_closing(api, data_centre).await,
       Self::Generation(service, generation) => lag(api, *service, *generation).await,
       Self::Version(version) => lag_of_version(api, *version).await,
     }
@@ -91,6 +103,7 @@
 impl Display for Wanted {
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     match self {
+      Self::Closed(data_centre) => write!(f, "closing of data centre {data_centre}"),
       Self::Generation(service, generation) => {
         write!(f, "generation {generation} of service {service}")
       }
@@ -99,6 +112,26 @@
   }
 }
 
+/// Why a process does not know that a data centre is closed; none where it does.
+async fn lag_of_closing(api: SocketAddr, data_centre: &str) -> Option<String> {
+  let state = match ask(api, "/v1/state").await {
+    Ok(state) => state,
+    Err(fault) => return Some(fault.to_string()),
+  };
+  let spread = &state["spread"];
+  let Some(closed) = spread["closed"].as_array() else {
+    return Some(WITHOUT_DATAGRAMS.into());
+  };
+  let known = closed.iter().any(|name| name == data_centre);
+  (!known).then(|| format!("found it open, last word of the platform {}", age(spread)))
+}
+
+/// How old a process's last word of the platform is.
+fn age(spread: &Value) -> String {
+  let age = spread["confirmed_ms"].as_u64();
+  age.map_or("never".into(), |ms| format!("{ms} ms ago"))
+}
+
 /// Why a process does not have a version in force; none where it has.
 async fn lag_of_version(api: SocketAddr, version: u64) -> Option<String> {
   let state = match ask(api, "/v1/state").await {
@@ -107,10 +140,9 @@
   };
   let spread = &state["spread"];
   let Some(held) = spread["version"].as_u64() else {
-    return Some("found no version: it carries no datagram services".into());
+    return Some(WITHOUT_DATAGRAMS.into());
   };
-  let age = spread["confirmed_ms"].as_u64();
-  let age = age.map_or("never".into(), |ms| format!("{ms} ms ago"));
+  let age = age(spread);
   (held < version).then(|| format!("found version {held}, last word of the platform {age}"))
 }
 
