Take flows from a closed data centre one balancer after another

Cause: all balancers pass over a closed data centre at the same moment, and its share of the new flows falls on the others' queues at once. Ruled out: what it costs without a burst (nothing is seen). Change: each balancer takes its flows away at a moment of its own within two fifths of the bound, less the age of the platform's last word (a closing may be as old as that); at once where that is spent. Agents go on half as long again.

--- a/src/datagram/agent/admission.rs
+++ b/src/datagram/agent/admission.rs
@@ -6,6 +6,10 @@
   std::{net::SocketAddrV4, time::Instant},
 };
 
+/// How many times as long as balancers an agent goes on in a data centre that was closed: they heard of
+/// it at other moments, and each takes its flows away at its own.
+const GUARD: f64 = 1.5;
+
 impl<C: Codec> Machine<C> {
   /// Why the upstream is not given a flow that a balancer wants opened; none where it is.
   pub(super) fn refusal(
@@ -17,7 +21,7 @@
     if self.leaving {
       return Some(Refusal::Leaving);
     }
-    if self.closed {
+    if self.is_closed(now) {
       return Some(Refusal::Closed);
     }
     let known = self.has(flow);
@@ -34,6 +38,11 @@
     (!granted && self.is_too_long(flow)).then_some(Refusal::Busy)
   }
 
+  /// Whether no new flow may come, since the data centre is closed.
+  pub(super) fn is_closed(&self, now: Instant) -> bool {
+    self.closed.is_some_and(|from| now >= from)
+  }
+
   /// Whether the upstream was given a flow's opening packet before: another copy is no new flow.
   pub(super) fn has(&self, flow: &Flow) -> bool {
     let entry = self.flows.get(flow);
@@ -66,12 +75,13 @@
   pub(super) fn reconsider(&mut self, now: Instant) {
     let closures = self.spread.catalog().closures();
     let closed = closures.is_closed(&self.data_centre);
-    if closed != self.closed {
+    if closed != self.closed.is_some() {
       log::info!(
         data_centre:% = self.data_centre, closed = closed;
         "agent: the list says whether the data centre is closed."
       );
-      self.closed = closed;
+      let grace = self.spread.closing_left().mul_f64(GUARD);
+      self.closed = closed.then_some(now + grace);
     }
     if let Some(opened) = closures.opened(&self.data_centre) {
       self.cold.opened(now, opened);
--- a/src/datagram/agent/granting.rs
+++ b/src/datagram/agent/granting.rs
@@ -35,7 +35,7 @@
   pub(super) fn grant(&mut self, now: Instant, out: &mut Outbox) {
     let lapsed = self.grants.expire(now);
     self.counter.add("grants.lapsed", lapsed);
-    if self.leaving || self.closed || self.grants.is_empty() {
+    if self.leaving || self.is_closed(now) || self.grants.is_empty() {
       return;
     }
     let load = self.load(now);
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -53,8 +53,8 @@
   /// How long callers take from an opening packet to their first request. Some have gone: an idle
   /// place was kept for each of them for 0.3 s.
   pub(super) arrival: Patience,
-  /// Whether the data centre is closed to new flows.
-  pub(super) closed: bool,
+  /// From when on the data centre is closed to new flows.
+  pub(super) closed: Option<Instant>,
   pub(super) codec: C,
   pub(super) cold: Cold,
   pub(super) counter: Arc<Counter>,
@@ -103,7 +103,7 @@
     };
     Self {
       arrival: Patience::new(tuning.expected.0, tuning.expected.1),
-      closed: false,
+      closed: None,
       codec,
       cold: Cold::new(now, settings.first_start),
       counter,
@@ -369,7 +369,7 @@
     json!({
       "flows": self.flows.len(),
       "forgetful_ms": forgetful.as_millis() as u64,
-      "closed": self.closed,
+      "closed": self.is_closed(now),
       "granted": self.grants.kept(),
       "leaving": self.leaving,
       "load": self.load(now),
--- a/src/datagram/balancer/closures.rs
+++ b/src/datagram/balancer/closures.rs
@@ -13,7 +13,8 @@
 /// Which data centres are closed to new flows, by the list and by the words of agents that refuse.
 #[derive(Debug, Default)]
 pub struct Closures {
-  listed: datagram::Closures,
+  /// From when on the list closes each.
+  listed: BTreeMap<String, Instant>,
   /// When an agent last said so, by its data centre.
   words: BTreeMap<String, Instant>,
 }
@@ -26,12 +27,19 @@
 
   /// Whether no new flow may go to a data centre.
   pub fn is_closed(&self, now: Instant, data_centre: &str) -> bool {
+    let listed = self
+      .listed
+      .get(data_centre)
+      .is_some_and(|from| now >= *from);
     let counts = |at: &Instant| now.saturating_duration_since(*at) < WORD;
-    self.listed.is_closed(data_centre) || self.words.get(data_centre).is_some_and(counts)
+    listed || self.words.get(data_centre).is_some_and(counts)
   }
 
-  /// Takes the list as it is now.
-  pub fn update(&mut self, listed: &datagram::Closures) {
-    self.listed = listed.clone();
+  /// Takes the list as it is now; what is new there closes from a moment on.
+  pub fn update(&mut self, listed: &datagram::Closures, from: Instant) {
+    self.listed.retain(|name, _| listed.is_closed(name));
+    for name in listed.closed() {
+      self.listed.entry(name.to_owned()).or_insert(from);
+    }
   }
 }
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -53,6 +53,10 @@
   pub(super) answered: BTreeSet<Flow>,
   /// Whether it was told of the time once: what a start takes is no standstill.
   pub(super) begun: bool,
+  /// The part of the time over which new flows are taken from a closed data centre after which this
+  /// balancer does: each has its own. Where all do it at once while callers press, the other data
+  /// centres fill up: 1.0% of feeds were late instead of 0.2% (by what callers saw).
+  pub(super) closing_part: f64,
   pub(super) codec: C,
   pub(super) counter: Arc<Counter>,
   pub(super) egress: Egress,
@@ -100,6 +104,7 @@
       announced: Announced::default(),
       answered: BTreeSet::new(),
       begun: false,
+      closing_part: f64::from(incarnation % 1000) / 1000.0,
       codec,
       counter,
       egress: Egress::new(now, settings.link),
@@ -327,11 +332,16 @@
 
   pub(super) fn take_news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) {
     let change = self.spread.news(now, origin, news, out);
-    self.changed(&change);
+    self.changed(now, &change);
     self.conclude_answered(now, out);
   }
 
-  pub(super) fn changed(&mut self, change: &crate::datagram::Change) {
+  pub(super) fn changed(&mut self, now: Instant, change: &crate::datagram::Change) {
+    if change.closures {
+      let listed = self.spread.catalog().closures();
+      let from = now + self.spread.closing_left().mul_f64(self.closing_part);
+      self.targets.closures.update(listed, from);
+    }
     if !change.is_empty() {
       self.targets.update(self.spread.catalog());
     }
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -339,7 +339,6 @@
 
   /// Takes the list as it is now.
   pub fn update(&mut self, catalog: &Catalog) {
-    self.closures.update(catalog.closures());
     let configuration = catalog.configuration();
     self.warmups = configuration.map_or_else(BTreeMap::new, |held| held.warmups.clone());
     let mut before = std::mem::take(&mut self.by_agent);
--- a/src/datagram/settings.rs
+++ b/src/datagram/settings.rs
@@ -19,6 +19,8 @@
   pub api: SocketAddrV4,
   /// Where callers' packets arrive (UDP). Callers take packets at this port too.
   pub callers: SocketAddrV4,
+  /// The time over which new flows are taken from a data centre that was closed.
+  pub closing: Duration,
   /// The data centre that it stands in.
   pub data_centre: String,
   /// Whether the whole system starts for the first time, so that no flow can be older.
@@ -57,6 +59,7 @@
     Self {
       api: local(7402),
       callers: local(4400),
+      closing: Duration::ZERO,
       data_centre: "default".into(),
       first_start: false,
       link: None,
--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -76,6 +76,10 @@
 pub struct Spread {
   address: SocketAddrV4,
   catalog: Catalog,
+  /// The time over which new flows are taken from a data centre that was closed.
+  closing: Duration,
+  /// What is left of it, by how old the closing may be that was heard of last.
+  closing_left: Duration,
   confirmed: Option<Instant>,
   /// Whether this process is a balancer.
   balancer: bool,
@@ -108,6 +112,8 @@
       address,
       balancer,
       catalog: Catalog::default(),
+      closing: settings.closing,
+      closing_left: Duration::ZERO,
       confirmed: None,
       data_centre: digest(&settings.data_centre),
       far_agents: now,
@@ -160,6 +166,11 @@
     peers.map(|(address, _)| *address)
   }
 
+  /// How long new flows may still go to a data centre that was heard of as closed just now.
+  pub fn closing_left(&self) -> Duration {
+    self.closing_left
+  }
+
   /// When a status is due.
   pub fn deadline(&self) -> Instant {
     self.next
@@ -223,6 +234,8 @@
   /// Takes news. What the platform said is pushed to everybody.
   pub fn news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) -> Change {
     let (after, to) = (self.catalog.complete(), news.to);
+    // What is new came after the last word of the platform.
+    let age = self.confirmed(now);
     let missing = news.after.is_some_and(|from| from > after);
     let change = self.catalog.offer(now, news);
     if origin == Origin::Platform {
@@ -232,6 +245,9 @@
     } else {
       self.pull = None;
     }
+    if change.closures {
+      self.closing_left = age.map_or(Duration::ZERO, |age| self.closing.saturating_sub(age));
+    }
     if !change.is_empty() {
       self.version += 1;
       log::info!(
--- a/tests/datagram/closures.rs
+++ b/tests/datagram/closures.rs
@@ -171,6 +171,41 @@
   assert_matches!(carried(&sent)[..], [(11 | 12, Purpose::Open)]);
 }
 
+/// A balancer that takes flows from a closed data centre after 1 s, before a target there and one
+/// elsewhere; the platform's last word is so old when the data centre is closed.
+fn closing(age: Duration) -> Balancer {
+  let mut balancer = Stepped::closing(1, Duration::from_secs(2));
+  let records = [
+    configured(1, 1, &[(1, "a")]),
+    listed(2, "up-11", 11, "a", Presence::Live),
+    elsewhere(3, "up-13", 13, "a"),
+  ];
+  balancer.platform(news(None, 3, &records));
+  balancer.pass(age);
+  close(&mut balancer, 3, HERE, true);
+  for host in [11, 13] {
+    tell(&mut balancer, host, 1, Load::default());
+  }
+  balancer
+}
+
+#[test]
+fn each_balancer_takes_its_flows_from_a_closed_data_centre_at_its_own_moment() {
+  let mut balancer = closing(Duration::ZERO);
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  assert_eq!(carried(&sent), [(11, Purpose::Open)]);
+  balancer.now += Duration::from_secs(1);
+  let sent = balancer.packet(Packet::open(flow(2, 1), 0));
+  assert_eq!(carried(&sent), [(13, Purpose::Open)]);
+}
+
+#[test]
+fn what_may_be_closed_for_long_is_closed_at_once() {
+  let mut balancer = closing(Duration::from_secs(2));
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  assert_eq!(carried(&sent), [(13, Purpose::Open)]);
+}
+
 type Agent = Stepped<agent::Machine<Plain>>;
 
 fn agent() -> Agent {
--- a/tests/datagram/support.rs
+++ b/tests/datagram/support.rs
@@ -216,6 +216,18 @@
     let machine = balancer::Machine::new(now, &settings, tuning, Plain, 1, counter);
     Self::new(machine, now)
   }
+
+  /// A balancer that takes its flows from a closed data centre after half of such a time.
+  pub fn closing(host: u8, closing: Duration) -> Self {
+    let now = Instant::now();
+    let counter = Arc::new(Counter::default());
+    let settings = Settings {
+      closing,
+      ..settings(host)
+    };
+    let machine = balancer::Machine::new(now, &settings, Tuning::default(), Plain, 500, counter);
+    Self::new(machine, now)
+  }
 }
 
 impl Stepped<agent::Machine<Plain>> {
--- a/tests/datagram/world.rs
+++ b/tests/datagram/world.rs
@@ -176,6 +176,7 @@
     self.fault();
     self.starts += 1;
     let settings = Settings {
+      closing: self.closing(),
       data_centre: self.data_centre(host).into(),
       first_start: self.bootstraps && self.now == 0,
       seeds: (1..=3).map(peer).collect(),
@@ -194,6 +195,7 @@
     self.fault();
     self.starts += 1;
     let settings = Settings {
+      closing: self.closing(),
       data_centre: self.data_centre(host).into(),
       // Nothing ran before the world's first moment, so that these know all flows.
       first_start: self.bootstraps && self.now == 0,
--- a/tests/datagram/world/zones.rs
+++ b/tests/datagram/world/zones.rs
@@ -14,6 +14,9 @@
 /// How long after it was closed a data centre may get opening packets, in milliseconds.
 const CLOSING: u64 = 2500;
 
+/// Over how long flows are taken from it, in milliseconds.
+const TAKEN: u64 = 1000;
+
 /// How long an upstream is cold, in milliseconds.
 const COLD: u64 = 4000;
 
@@ -47,6 +50,11 @@
     world
   }
 
+  /// The time over which new flows are taken from a closed data centre.
+  pub(super) fn closing(&self) -> Duration {
+    Duration::from_millis(if self.zones.is_some() { TAKEN } else { 0 })
+  }
+
   /// The data centre of an instance.
   pub(super) fn data_centre(&self, host: u8) -> &'static str {
     match (&self.zones, host % 2) {
