--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -1,8 +1,12 @@
+mod peer;
+mod telling;
+
 use {
+  self::peer::Peer,
   super::{
-    Catalog, Change, Frame, News, Outbox, Settings, Tuning,
+    Catalog, Change, News, Outbox, Settings, Tuning,
     event::Origin,
-    frame::{NEWS_MAX, Role, Status},
+    frame::{Role, Status},
   },
   crate::Revision,
   serde_json::json,
@@ -14,16 +18,10 @@
   xxhash_rust::xxh3::xxh3_64,
 };
 
-/// How many balancers a status names.
-const NAMED_MAX: usize = 4;
-
 /// How long a balancer that is not heard of is still told, so that it finds its peers again when
 /// it comes back.
 const TOLD: Duration = Duration::from_mins(5);
 
-/// How often one that is not heard of is told.
-const TOLD_EVERY: Duration = Duration::from_secs(1);
-
 /// After so much silence a balancer that speaks again is worth a line: those of other data centres
 /// tell agents only every two seconds.
 const LOST: Duration = Duration::from_secs(5);
@@ -43,33 +41,6 @@
   pub near: Vec<SocketAddrV4>,
 }
 
-/// What is known of another process.
-#[derive(Clone, Debug)]
-struct Peer {
-  balancer: bool,
-  complete: Revision,
-  /// The hash of its data centre's name, once it has told.
-  data_centre: Option<u32>,
-  heard: Option<Instant>,
-  since: Instant,
-  stopping: bool,
-  told: Option<Instant>,
-}
-
-impl Peer {
-  fn new(now: Instant, balancer: bool) -> Self {
-    Self {
-      balancer,
-      complete: Revision::default(),
-      data_centre: None,
-      heard: None,
-      since: now,
-      stopping: false,
-      told: None,
-    }
-  }
-}
-
 /// Keeps the catalog and spreads it: a few balancers read the platform and push what is new; the
 /// others hear it, find by each status whether they are behind, and ask the sender.
 #[derive(Debug)]
@@ -351,53 +322,6 @@
     }
   }
 
-  /// Tells of this process where that is due; `role` is what it is, `agents` further receivers.
-  pub fn tick(&mut self, now: Instant, role: Role, agents: &Agents, out: &mut Outbox) {
-    if now < self.next {
-      return;
-    }
-    self.tell_now(now, role, out);
-    let frame = Frame::Status(self.own_status(now, Role::Balancer));
-    for agent in &agents.near {
-      out.frame(*agent, &frame, &[]);
-    }
-    if now < self.far_agents {
-      return;
-    }
-    self.far_agents = now + self.tuning.far_agent;
-    for agent in &agents.far {
-      out.frame(*agent, &frame, &[]);
-    }
-  }
-
-  /// Tells balancers of this process now: those near at each call, the others less often.
-  pub fn tell_now(&mut self, now: Instant, role: Role, out: &mut Outbox) {
-    self.next = now + self.tuning.status;
-    let frame = Frame::Status(self.own_status(now, role));
-    let tuning = self.tuning;
-    for (address, peer) in &mut self.peers {
-      let since = |at: Instant| now.saturating_duration_since(at);
-      let quiet = peer.heard.is_none_or(|heard| since(heard) >= tuning.silent);
-      let near = peer.data_centre == Some(self.data_centre);
-      let pause = match (quiet, near) {
-        (true, _) => TOLD_EVERY,
-        (false, true) => Duration::ZERO,
-        (false, false) => tuning.far,
-      };
-      let told = peer.told.is_some_and(|told| since(told) < pause);
-      if !peer.balancer || told {
-        continue;
-      }
-      peer.told = Some(now);
-      out.frame(*address, &frame, &[]);
-    }
-  }
-
-  /// Tells one process of this one now.
-  pub fn greet(&self, now: Instant, role: Role, to: SocketAddrV4, out: &mut Outbox) {
-    out.frame(to, &Frame::Status(self.own_status(now, role)), &[]);
-  }
-
   /// Whether a process was never heard of.
   pub fn is_new(&self, process: SocketAddrV4) -> bool {
     let peer = self.peers.get(&process);
@@ -420,40 +344,6 @@
       .is_some_and(|heard| now.saturating_duration_since(heard) < self.tuning.silent)
   }
 
-  fn own_status(&self, now: Instant, role: Role) -> Status {
-    let mut balancers = self.balancers(now);
-    // Each status names others, so that after a few all are named.
-    let turn = now.saturating_duration_since(self.started).as_millis() / 100;
-    let first = turn as usize % balancers.len().max(1);
-    balancers.rotate_left(first);
-    balancers.truncate(NAMED_MAX);
-    Status {
-      balancers,
-      complete: self.catalog.complete(),
-      confirmed_ms: self.confirmed(now).map(|age| age.as_millis() as u32),
-      data_centre: self.data_centre,
-      incarnation: self.incarnation,
-      role,
-      stopping: self.stopping,
-    }
-  }
-
-  /// Sends what came after a revision to all peers; where it is too large, a status tells them to
-  /// ask for it.
-  fn push(&mut self, now: Instant, after: Revision, out: &mut Outbox) {
-    let news = Frame::News(self.catalog.since(after));
-    let mut size = Vec::new();
-    news.encode(&mut size);
-    let frame = if size.len() <= NEWS_MAX {
-      news
-    } else {
-      Frame::Status(self.own_status(now, Role::Balancer))
-    };
-    for address in self.peers.keys() {
-      out.frame(*address, &frame, &[]);
-    }
-  }
-
   fn want(&mut self, now: Instant, from: SocketAddrV4, revision: Revision) {
     let busy = self
       .pull
