Share what the tests of an agent begin with

Cause: four test files made the same agent, digest and frame for themselves. Change: support::{agent, carry, digest}; no assertion is touched.

--- a/tests/datagram/closures.rs
+++ b/tests/datagram/closures.rs
@@ -3,15 +3,18 @@
 use {
   crate::{
     balancing::{Balancer, balancer, busy, carried, is_reset, tell},
-    plain::{Packet, Plain},
-    support::{Sent, Stepped, closure, configured, elsewhere, flow, listed, news, peer},
+    plain::Packet,
+    support::{
+      Agent, Sent, Stepped, agent, carry, closure, configured, digest, elsewhere, flow, listed,
+      news, peer,
+    },
   },
   assert_matches::assert_matches,
   fallwell::{
     Revision,
     config::Presence,
     datagram::{
-      Catalog, Frame, Load, News, Service, Version, agent,
+      Catalog, Frame, Load, News,
       frame::{Purpose, Refusal},
     },
   },
@@ -206,42 +209,23 @@
   assert_eq!(carried(&sent), [(13, Purpose::Open)]);
 }
 
-type Agent = Stepped<agent::Machine<Plain>>;
-
-fn agent() -> Agent {
-  let mut agent = Stepped::agent(9, "a", true);
-  let records = [
-    configured(1, 1, &[(1, "a")]),
-    listed(2, "up", 9, "a", Presence::Live),
-  ];
-  agent.platform(news(None, 2, &records));
-  agent
-}
-
-fn carry(agent: &mut Agent, purpose: Purpose, packet: Packet) -> Vec<Sent> {
-  let frame = Frame::Carry {
-    // The sender knows the list as of before the closing.
-    complete: Revision(2),
-    purpose,
-    service: "a".parse::<Service>().expect("a name").digest(),
-    version: Version(1),
-  };
-  agent.frame(1, &frame, &packet.write())
+fn carry_to(agent: &mut Agent, purpose: Purpose, packet: Packet) -> Vec<Sent> {
+  agent.frame(1, &carry(purpose), &packet.write())
 }
 
 #[test]
 fn an_agent_in_a_closed_data_centre_takes_no_new_flow_and_says_so() {
   let mut agent = agent();
-  carry(&mut agent, Purpose::Open, Packet::open(flow(1, 1), 0));
+  carry_to(&mut agent, Purpose::Open, Packet::open(flow(1, 1), 0));
   let answer = Packet {
     sequence: 100,
     ..Packet::open(flow(1, 1), 1)
   };
   agent.packet(answer);
   let data = Packet::data(flow(1, 1), 2, 101);
-  carry(&mut agent, Purpose::Deliver, data);
+  carry_to(&mut agent, Purpose::Deliver, data);
   agent.platform(news(Some(2), 3, &[closure(3, HERE, true)]));
-  let sent = carry(&mut agent, Purpose::Open, Packet::open(flow(2, 1), 0));
+  let sent = carry_to(&mut agent, Purpose::Open, Packet::open(flow(2, 1), 0));
   assert_matches!(
     &sent[..],
     [Sent::Frame(to, Frame::Refused(refused, Refusal::Closed, _), _)]
@@ -249,10 +233,10 @@
   );
   // What is open goes on.
   let data = Packet::data(flow(1, 1), 12, 101);
-  let sent = carry(&mut agent, Purpose::Deliver, data);
+  let sent = carry_to(&mut agent, Purpose::Deliver, data);
   assert_eq!(sent, [Sent::Upstream(data)]);
   agent.platform(news(Some(3), 4, &[closure(4, HERE, false)]));
-  let sent = carry(&mut agent, Purpose::Open, Packet::open(flow(3, 1), 0));
+  let sent = carry_to(&mut agent, Purpose::Open, Packet::open(flow(3, 1), 0));
   assert_eq!(sent, [Sent::Upstream(Packet::open(flow(3, 1), 0))]);
 }
 
@@ -262,7 +246,7 @@
   agent.platform(news(Some(2), 3, &[closure(3, HERE, true)]));
   let backlog = Frame::Backlog {
     flows: 9,
-    service: "a".parse::<Service>().expect("a name").digest(),
+    service: digest("a"),
   };
   assert_eq!(agent.frame(1, &backlog, &[]), []);
 }
--- a/tests/datagram/cold.rs
+++ b/tests/datagram/cold.rs
@@ -3,30 +3,23 @@
 use {
   crate::{
     balancing::{Balancer, balancer, carried, is_reset, tell},
-    plain::{Packet, Plain},
-    support::{Sent, Stepped, closure, configured_cold, flow, news, peer, warming},
+    plain::Packet,
+    support::{
+      Agent, Sent, Stepped, carry, closure, configured_cold, digest, flow, news, peer, warming,
+    },
   },
   assert_matches::assert_matches,
-  fallwell::{
-    Revision,
-    datagram::{
-      Frame, Load, Record, Service, Version, agent,
-      frame::{Purpose, Refusal},
-    },
+  fallwell::datagram::{
+    Frame, Load, Record,
+    frame::{Purpose, Refusal},
   },
   std::time::Duration,
 };
 
-type Agent = Stepped<agent::Machine<Plain>>;
-
 /// What the operator states: 12 new flows a second, for 4 s.
 const PER_SECOND: usize = 12;
 const LASTS: Duration = Duration::from_secs(4);
 
-fn digest() -> u64 {
-  "a".parse::<Service>().expect("a name").digest()
-}
-
 fn configured() -> Record {
   configured_cold(1, 1, &[(1, "a")], LASTS, PER_SECOND as u16)
 }
@@ -41,14 +34,8 @@
 
 /// Whether the upstream is given a new flow of a balancer.
 fn opens(agent: &mut Agent, from: u8, port: u16) -> bool {
-  let carry = Frame::Carry {
-    complete: Revision(2),
-    purpose: Purpose::Open,
-    service: digest(),
-    version: Version(1),
-  };
   let packet = Packet::open(flow(port, 1), 0);
-  let sent = agent.frame(from, &carry, &packet.write());
+  let sent = agent.frame(from, &carry(Purpose::Open), &packet.write());
   match &sent[..] {
     [Sent::Upstream(given)] => *given == packet,
     [Sent::Frame(_, Frame::Refused(_, Refusal::Cold, load), _)] => {
@@ -176,7 +163,7 @@
   }
   let backlog = Frame::Backlog {
     flows: 9,
-    service: digest(),
+    service: digest("a"),
   };
   let sent = agent.frame(2, &backlog, &[]);
   assert_matches!(&sent[..], [Sent::Frame(to, Frame::Grant(_), _)] if *to == peer(2));
--- a/tests/datagram/failing.rs
+++ b/tests/datagram/failing.rs
@@ -3,13 +3,12 @@
 use {
   crate::{
     balancing::{Balancer, balancer, carried, tell},
-    plain::{Packet, Plain},
-    support::{Stepped, configured, flow, listed, news},
+    plain::Packet,
+    support::{Agent, agent, carry, flow, listed, news},
   },
   fallwell::{
-    Revision,
     config::Presence,
-    datagram::{Frame, Load, Machine, Service, Version, agent, frame::Purpose},
+    datagram::{Load, Machine, frame::Purpose},
   },
   rand::{RngExt, SeedableRng, rngs::SmallRng},
   std::time::Duration,
@@ -21,38 +20,23 @@
 /// How many requests a target is given.
 const REQUESTS: u16 = 200;
 
-type Agent = Stepped<agent::Machine<Plain>>;
-
-fn carry(agent: &mut Agent, purpose: Purpose, packet: Packet) {
-  let frame = Frame::Carry {
-    complete: Revision(2),
-    purpose,
-    service: "a".parse::<Service>().expect("a name").digest(),
-    version: Version(1),
-  };
-  agent.frame(1, &frame, &packet.write());
-}
-
 /// One request of a flow of its own that the upstream answers after `time`.
 fn request(agent: &mut Agent, port: u16, time: Duration) {
-  carry(agent, Purpose::Open, Packet::open(flow(port, 1), 0));
+  let open = Packet::open(flow(port, 1), 0);
+  agent.frame(1, &carry(Purpose::Open), &open.write());
   agent.packet(Packet {
     sequence: 100,
     ..Packet::open(flow(port, 1), 1)
   });
-  carry(agent, Purpose::Deliver, Packet::data(flow(port, 1), 2, 101));
+  let data = Packet::data(flow(port, 1), 2, 101);
+  agent.frame(1, &carry(Purpose::Deliver), &data.write());
   agent.now += time;
   agent.packet(Packet::data(flow(port, 1), 101, 12));
 }
 
 /// What an agent says after requests, each of which fails with such a chance.
 fn told(failing: f64) -> Load {
-  let mut agent = Stepped::agent(9, "a", true);
-  let records = [
-    configured(1, 1, &[(1, "a")]),
-    listed(2, "up", 9, "a", Presence::Live),
-  ];
-  agent.platform(news(None, 2, &records));
+  let mut agent = agent();
   let mut rng = SmallRng::seed_from_u64(7);
   for port in 1..=REQUESTS {
     // From 20 to 140 ms, most of them short.
@@ -82,12 +66,7 @@
 
 #[test]
 fn an_upstream_that_is_given_nothing_gets_another_chance() {
-  let mut agent = Stepped::agent(9, "a", true);
-  let records = [
-    configured(1, 1, &[(1, "a")]),
-    listed(2, "up", 9, "a", Presence::Live),
-  ];
-  agent.platform(news(None, 2, &records));
+  let mut agent = agent();
   for port in 1..=20 {
     request(&mut agent, port, Duration::from_millis(50));
   }
--- a/tests/datagram/grants.rs
+++ b/tests/datagram/grants.rs
@@ -4,40 +4,23 @@
 use {
   crate::{
     balancing::{Balancer, balancer, busy, carried, tell},
-    plain::{Packet, Plain},
-    support::{Sent, Stepped, configured, flow, listed, news, peer},
+    plain::Packet,
+    support::{Agent, Sent, agent, carry, configured, digest, flow, listed, news, peer},
   },
   assert_matches::assert_matches,
   fallwell::{
     config::Presence,
     datagram::{
-      Frame, Load, Service, Version, agent,
+      Frame, Load,
       frame::{Purpose, Refusal},
     },
   },
   std::{net::SocketAddrV4, time::Duration},
 };
 
-type Agent = Stepped<agent::Machine<Plain>>;
-
 /// Places of an upstream with 4 slots: one more for two slots.
 const PLACES: usize = 6;
 
-/// An agent of service `a` whose upstream has 4 slots and nothing to do.
-fn agent() -> Agent {
-  let mut agent = Stepped::agent(9, "a", true);
-  let records = [
-    configured(1, 1, &[(1, "a")]),
-    listed(2, "up", 9, "a", Presence::Live),
-  ];
-  agent.platform(news(None, 2, &records));
-  agent
-}
-
-fn digest(service: &str) -> u64 {
-  service.parse::<Service>().expect("a name").digest()
-}
-
 fn backlog(flows: u16) -> Frame {
   let service = digest("a");
   Frame::Backlog { flows, service }
@@ -54,14 +37,8 @@
 
 /// A flow comes to the agent.
 fn open(agent: &mut Agent, from: u8, port: u16) -> Vec<Sent> {
-  let carry = Frame::Carry {
-    complete: fallwell::Revision(2),
-    purpose: Purpose::Open,
-    service: digest("a"),
-    version: Version(1),
-  };
   let packet = Packet::open(flow(port, 1), 0);
-  agent.frame(from, &carry, &packet.write())
+  agent.frame(from, &carry(Purpose::Open), &packet.write())
 }
 
 #[test]
--- a/tests/datagram/support.rs
+++ b/tests/datagram/support.rs
@@ -7,6 +7,7 @@
     datagram::{
       Configuration, Event, Flow, Frame, Machine, News, Origin, Outbox, Rate, Record, Route,
       Service, Settings, Target, Tuning, Upstream, Version, Via, Warmup, agent, balancer,
+      frame::Purpose,
     },
   },
   std::{
@@ -183,6 +184,36 @@
   }
 }
 
+/// An agent of service `a` that is stepped by hand.
+pub type Agent = Stepped<agent::Machine<Plain>>;
+
+/// An agent whose upstream has 4 slots and nothing to do; it knows the list up to revision 2.
+pub fn agent() -> Agent {
+  let mut agent = Stepped::agent(9, "a", true);
+  let records = [
+    configured(1, 1, &[(1, "a")]),
+    listed(2, "up", 9, "a", Presence::Live),
+  ];
+  agent.platform(news(None, 2, &records));
+  agent
+}
+
+/// The digest of a service's name.
+pub fn digest(service: &str) -> u64 {
+  service.parse::<Service>().expect("a name").digest()
+}
+
+/// What comes with a caller's packet to an agent of service `a`, from a balancer that knows the list up
+/// to revision 2.
+pub fn carry(purpose: Purpose) -> Frame {
+  Frame::Carry {
+    complete: Revision(2),
+    purpose,
+    service: digest("a"),
+    version: Version(1),
+  }
+}
+
 /// Something sent: a frame with the packet that follows, or a packet.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Sent {
