Count a second that begins while an upstream is cold to its end

Ruled out: the window (12 in each second before), two runs (one), grants (none there). Change: the bound holds for one second more, also after the platform's word that the target is warm; the random run's check counts the same second.

--- a/src/datagram/agent/cold.rs
+++ b/src/datagram/agent/cold.rs
@@ -35,7 +35,7 @@
   heard: Revision,
   /// Until when a run before this one may have given it flows in the same span.
   shared_until: Option<Instant>,
-  /// Until when it is cold, by the platform's word.
+  /// Until when it is cold, or was, by the platform's word.
   until: Option<Instant>,
 }
 
@@ -87,8 +87,13 @@
       return;
     }
     self.heard = revision;
-    self.until = (left > Duration::ZERO).then(|| now + left);
-    if self.doubted.is_some_and(|(_, known)| revision > known) {
+    let answered = self.doubted.is_some_and(|(_, known)| revision > known);
+    if !left.is_zero() || answered {
+      self.until = Some(now + left);
+    } else {
+      self.until = self.until.map(|until| until.min(now));
+    }
+    if answered {
       self.doubted = None;
     }
   }
@@ -105,10 +110,12 @@
   /// have; none where nothing bounds that. `warmup` is what the operator states of its service.
   pub fn room(&self, now: Instant, warmup: Option<Warmup>) -> Option<u16> {
     let warmup = warmup?;
+    // A span that begins while the upstream is cold counts to its end.
+    let lasts = warmup.lasts.saturating_add(SPAN);
     let doubted = self
       .doubted
-      .is_some_and(|(since, _)| now.saturating_duration_since(since) < warmup.lasts);
-    let cold = doubted || self.until.is_some_and(|until| now < until);
+      .is_some_and(|(since, _)| now.saturating_duration_since(since) < lasts);
+    let cold = doubted || self.until.is_some_and(|until| now < until + SPAN);
     if !cold {
       return None;
     }
--- a/tests/datagram/cold.rs
+++ b/tests/datagram/cold.rs
@@ -20,6 +20,9 @@
 const PER_SECOND: usize = 12;
 const LASTS: Duration = Duration::from_secs(4);
 
+/// The time in which so many are counted.
+const SPAN: Duration = Duration::from_secs(1);
+
 fn configured() -> Record {
   configured_cold(1, 1, &[(1, "a")], LASTS, PER_SECOND as u16)
 }
@@ -106,14 +109,30 @@
   assert_matches!(most, 1..=PER_SECOND);
   let word = warming(3, "up", 9, "a", Duration::ZERO);
   agent.platform(news(Some(2), 3, &[word]));
+  agent.pass(SPAN);
   let (taken, _) = given(&mut agent, Duration::from_millis(500));
   assert_eq!(taken, 50);
 }
 
+#[test]
+fn a_second_that_begins_while_an_upstream_is_cold_counts_to_its_end() {
+  let mut agent = agent(true, Duration::from_millis(1500));
+  let (taken, most) = given(&mut agent, Duration::from_millis(2490));
+  assert_eq!(most, PER_SECOND);
+  assert_eq!(taken, 3 * PER_SECOND);
+  // The same where the platform says in time that it is warm.
+  let mut agent = self::agent(true, LASTS);
+  given(&mut agent, Duration::from_millis(500));
+  let word = warming(3, "up", 9, "a", Duration::ZERO);
+  agent.platform(news(Some(2), 3, &[word]));
+  let (_, most) = given(&mut agent, Duration::from_millis(900));
+  assert_eq!(most, PER_SECOND);
+}
+
 #[test]
 fn an_agent_that_has_just_started_is_careful_no_longer_than_a_target_is_cold() {
   let mut agent = agent(false, Duration::ZERO);
-  agent.pass(LASTS);
+  agent.pass(LASTS + SPAN);
   let (taken, _) = given(&mut agent, Duration::from_millis(500));
   assert_eq!(taken, 50);
 }
--- a/tests/datagram/world/zones.rs
+++ b/tests/datagram/world/zones.rs
@@ -133,6 +133,12 @@
     }
   }
 
+  /// Whether an upstream is cold, or was when the last second began.
+  fn is_cold(&self, host: u8) -> bool {
+    let until = self.zones.as_ref().and_then(|zones| zones.cold.get(&host));
+    until.is_some_and(|until| self.now < until + 1000)
+  }
+
   /// How much longer an upstream is cold, in milliseconds.
   pub(super) fn cold_left(&self, host: u8) -> u64 {
     let until = self
@@ -166,7 +172,7 @@
   /// An upstream was given an opening packet. Copies of one are one new flow.
   pub(super) fn count_opening(&mut self, host: u8, flow: Flow, calm: bool) {
     let (data_centre, now) = (self.data_centre(host), self.now);
-    let left = self.cold_left(host);
+    let cold = self.is_cold(host);
     let Some(zones) = &mut self.zones else {
       return;
     };
@@ -174,7 +180,7 @@
     let late = since.is_some_and(|since| now > since + CLOSING);
     assert!(!late || !calm, "{host} stands in {data_centre}, closed");
     let given = zones.given.entry(host).or_default();
-    if left == 0 || self.beside[&host].service != "a" {
+    if !cold || self.beside[&host].service != "a" {
       given.clear();
       return;
     }
