--- a/src/code.rs
+++ b/src/code.rs
@@ -54,6 +54,7 @@
   DocumentAddressTaken = 108, "address belongs to a service with a lower id";
   RevisionOlder = 109, "revision is not newer than the one held";
   DocumentOrderUnknown = 110, "key or field is not known to this version and has no effect";
+  DocumentEntryUnreadable = 111, "entry of the list cannot be read and names no target";
   SettingsUnreadable = 121, "settings file cannot be read";
   SettingsInvalid = 122, "settings are not valid";
   ArgumentInvalid = 131, "argument is not valid";
--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -4,6 +4,7 @@
 //! where it does not know. An agent sees both directions and knows the flows of its upstream.
 
 pub mod agent;
+mod backends;
 pub mod balancer;
 /// Several frames in one datagram.
 pub mod bundle;
@@ -14,6 +15,7 @@
 /// What machines are told.
 pub mod event;
 mod flow;
+mod former;
 /// What passes between the processes in datagrams.
 pub mod frame;
 /// What an agent that stops leaves to its next run.
@@ -25,7 +27,8 @@
 mod patience;
 mod rate;
 mod record;
-mod service;
+/// The names of services.
+pub mod service;
 mod settings;
 mod spread;
 /// The platform's list of targets.
@@ -33,12 +36,14 @@
 mod warmup;
 
 pub use {
+  backends::{Backend, Backends, Weight},
   catalog::{Catalog, Change, Entry},
   closures::Closures,
   codec::Codec,
   configuration::{Configuration, Route, Version},
   event::{Event, Machine, Origin},
   flow::{Flow, FlowInvalid},
+  former::Former,
   frame::Frame,
   handover::Handover,
   head::Head,
--- a/src/datagram/agent/answers.rs
+++ b/src/datagram/agent/answers.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    delivery::found,
     held::{Held, State},
     machine::Machine,
   },
@@ -59,7 +60,7 @@
       return;
     }
     if let (State::Tested { .. }, Some(balancer)) = (entry.state, entry.balancer) {
-      out.frame(balancer, &Frame::Found(flow), &[]);
+      out.frame(balancer, &found(flow, &self.upstream), &[]);
     }
     if !matches!(entry.state, State::Opening) {
       entry.state = State::Open;
@@ -129,6 +130,7 @@
       let frame = Frame::Absent {
         flows: vec![flow],
         known: self.known(now, entry.map(|entry| entry.asker).unwrap_or_default()),
+        lost: entry.is_some_and(|entry| entry.state == State::Open && entry.proved),
       };
       out.frame(balancer, &frame, packet);
     }
--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -8,8 +8,9 @@
   crate::{
     Code, Revision,
     datagram::{
-      Codec, Flow, Frame, Outbox, Via,
+      Codec, Flow, Frame, Outbox, Upstream, Via,
       frame::{Known, Purpose, Refusal},
+      service::Digest,
     },
   },
   std::{
@@ -23,7 +24,7 @@
     &mut self,
     now: Instant,
     carried: &Carried,
-    service: u64,
+    service: Digest,
     out: &mut Outbox,
   ) -> Result<(), Code> {
     self.spread.heard(now, carried.from, true);
@@ -43,9 +44,9 @@
     let version = carried.version;
     let flow = carried.head.flow;
     let catalog = self.spread.catalog();
-    let dropped =
-      catalog.version() > version && catalog.service(&flow.route) != Some(&self.upstream.service);
-    if dropped {
+    let route = catalog.route(&flow.route);
+    let takes = route.is_some_and(|route| route.backends.takes(&self.upstream.service));
+    if catalog.version() > version && !takes {
       log::info!(
         flow:% = flow, version:% = catalog.version(), sender:% = version;
         "agent: opening packet is for a dropped route."
@@ -93,6 +94,7 @@
     };
     match entry.state {
       State::Opening if entry.is_answered(carried.head.acknowledges) => {
+        entry.proved = true;
         entry.state = State::Open;
       }
       // An opening packet that came late may be of a flow that the run before had opened.
@@ -127,7 +129,7 @@
       entry.ahead = self.work.under_way() - 1;
     }
     if carried.purpose == Purpose::Test {
-      out.frame(carried.from, &Frame::Found(flow), &[]);
+      out.frame(carried.from, &found(flow, &self.upstream), &[]);
     }
     out.packet(Via::Upstream, self.upstream.address, carried.packet);
   }
@@ -138,33 +140,38 @@
     now: Instant,
     from: SocketAddrV4,
     flows: &[(Flow, u32)],
-    service: u64,
+    services: &[Digest],
     complete: Revision,
     out: &mut Outbox,
   ) -> Result<(), Code> {
     self.spread.heard(now, from, true);
-    if service != self.upstream.service.digest() {
+    if !services.contains(&self.upstream.service.digest()) {
       let known = self.known(now, complete);
       let flows = flows.iter().map(|(flow, _)| *flow).collect();
-      out.frame(from, &Frame::Absent { flows, known }, &[]);
+      let lost = false;
+      out.frame(from, &Frame::Absent { flows, known, lost }, &[]);
       return Err(Code::FrameWrongService);
     }
     let (mut absent, mut unsure) = (Vec::new(), Vec::new());
     for (flow, acknowledges) in flows {
       match self.holds(now, from, flow, *acknowledges) {
-        Holds::Yes => out.frame(from, &Frame::Found(*flow), &[]),
+        Holds::Yes => out.frame(from, &found(*flow, &self.upstream), &[]),
         Holds::No => absent.push(*flow),
         Holds::Tested => {}
         Holds::Unknown => unsure.push(*flow),
       }
     }
     if !unsure.is_empty() {
-      out.frame(from, &Frame::Unsure(unsure), &[]);
+      let frame = Frame::Unsure {
+        flows: unsure,
+        service: self.upstream.service.digest(),
+      };
+      out.frame(from, &frame, &[]);
     }
     if !absent.is_empty() {
       let known = self.known(now, complete);
-      let flows = absent;
-      out.frame(from, &Frame::Absent { flows, known }, &[]);
+      let (flows, lost) = (absent, false);
+      out.frame(from, &Frame::Absent { flows, known, lost }, &[]);
     }
     Ok(())
   }
@@ -222,7 +229,7 @@
     entry.state = State::Open;
     log::info!(flow:% = flow; "agent: tested flow was not sent back.");
     if let Some(balancer) = entry.balancer {
-      out.frame(balancer, &Frame::Found(flow), &[]);
+      out.frame(balancer, &found(flow, &self.upstream), &[]);
     }
   }
 
@@ -295,6 +302,14 @@
   Unknown,
 }
 
+/// The word that a flow is at an upstream.
+pub(super) fn found(flow: Flow, upstream: &Upstream) -> Frame {
+  Frame::Found {
+    flow,
+    service: upstream.service.digest(),
+  }
+}
+
 /// Tells a balancer that a flow is not here.
 fn absent(carried: &Carried, known: Known, out: &mut Outbox) {
   let packet = match carried.purpose {
@@ -304,6 +319,7 @@
   let frame = Frame::Absent {
     flows: vec![carried.head.flow],
     known,
+    lost: false,
   };
   out.frame(carried.from, &frame, packet);
 }
--- a/src/datagram/agent/granting.rs
+++ b/src/datagram/agent/granting.rs
@@ -4,7 +4,7 @@
   super::machine::Machine,
   crate::{
     Code,
-    datagram::{Codec, Frame, Outbox},
+    datagram::{Codec, Frame, Outbox, service::Digest},
   },
   std::{net::SocketAddrV4, time::Instant},
 };
@@ -20,7 +20,7 @@
     now: Instant,
     from: SocketAddrV4,
     flows: u16,
-    service: u64,
+    service: Digest,
   ) -> Result<(), Code> {
     if service != self.upstream.service.digest() {
       return Err(Code::FrameWrongService);
--- a/src/datagram/agent/held.rs
+++ b/src/datagram/agent/held.rs
@@ -24,6 +24,8 @@
   pub newest: Option<(Instant, u32)>,
   /// When the upstream was given its opening packet; none once its first request has come.
   pub opened: Option<Instant>,
+  /// Whether its caller chose this upstream for certain: no other can have the flow.
+  pub proved: bool,
   /// When its last packet passed, either way.
   pub seen: Instant,
   /// The sequence number of the upstream's answer to its opening packet, once that has passed.
@@ -55,6 +57,7 @@
     if self.state == State::Open && known {
       return;
     }
+    self.proved = false;
     self.sequence = Some(sequence);
     self.state = State::Opening;
   }
@@ -99,6 +102,7 @@
       expected: false,
       newest: None,
       opened: None,
+      proved: false,
       seen: now,
       sequence: None,
       state,
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -14,6 +14,7 @@
       Spread, Tuning, Upstream, Version, event,
       frame::{Purpose, Role},
       handover::Passed,
+      target::Born,
     },
   },
   serde_json::json,
@@ -50,6 +51,8 @@
 
 /// Decides which packets reach an agent's upstream, and sends the upstream's to the callers.
 pub struct Machine<C> {
+  /// Which run of the upstream the list names.
+  pub(super) born: Option<Born>,
   /// How long callers take from an opening packet to their first request. Some have gone: an idle
   /// place was kept for each of them for 0.3 s.
   pub(super) arrival: Patience,
@@ -103,6 +106,7 @@
     };
     Self {
       arrival: Patience::new(tuning.expected.0, tuning.expected.1),
+      born: None,
       closed: None,
       codec,
       cold: Cold::new(now, settings.first_start),
@@ -145,8 +149,8 @@
       Frame::Ask {
         complete,
         flows,
-        service,
-      } => self.asked(now, from, &flows, service, complete, out),
+        services,
+      } => self.asked(now, from, &flows, &services, complete, out),
       Frame::Backlog { flows, service } => self.take_backlog(now, from, flows, service),
       Frame::Carry {
         complete,
@@ -257,6 +261,7 @@
       return;
     };
     self.slots = Some(entry.target.slots.max(1));
+    let born = entry.target.born;
     let leaving = entry.target.presence == Presence::Leaving
       || entry.gone.is_some()
       || entry.target.service != self.upstream.service;
@@ -265,6 +270,27 @@
       log::info!(target:% = id, leaving = leaving; "agent: the list says whether it leaves.");
       self.leaving = leaving;
     }
+    if born > self.born {
+      let first = self.born.is_none();
+      self.born = born;
+      if !first {
+        self.reborn();
+      }
+    }
+  }
+
+  /// The upstream has started again: what was learnt of the run before says nothing of this one. Its
+  /// flows show when their next packets are sent back; those that were opened since are not told
+  /// from them.
+  fn reborn(&mut self) {
+    log::info!(flows = self.flows.len(); "agent: upstream has started again.");
+    self.work = Work::default();
+    self.grants = Grants::default();
+    self.expected.clear();
+    for entry in self.flows.values_mut() {
+      entry.expected = false;
+      entry.waits = None;
+    }
   }
 
   pub(super) fn load(&self, now: Instant) -> Load {
--- a/src/datagram/balancer/choosing.rs
+++ b/src/datagram/balancer/choosing.rs
@@ -43,6 +43,13 @@
     within(limit_ms).or(Some(best))
   }
 
+  /// Whether a service has a target that may take a new flow, busy or not.
+  pub fn takes(&self, now: Instant, service: &Service) -> bool {
+    let agents = self.services.get(service).into_iter().flatten();
+    let mut seen = agents.filter_map(|agent| self.by_agent.get(agent));
+    seen.any(|seen| seen.service == *service && self.cost(now, seen, Typical::default()).is_some())
+  }
+
   /// The one of the least cost, of those where a new flow waits no longer than a limit.
   fn best(
     &self,
--- a/src/datagram/balancer/frames.rs
+++ b/src/datagram/balancer/frames.rs
@@ -24,11 +24,14 @@
     let (frame, packet) = Frame::decode(bytes)?;
     match frame {
       Frame::AskPast => self.tell_past(now, from, out),
-      Frame::Absent { flows, known } => self.absent(now, from, &flows, &known, packet, out),
+      Frame::Absent {
+        flows, lost: true, ..
+      } => self.lost(now, from, &flows, packet, out),
+      Frame::Absent { flows, known, .. } => self.absent(now, from, &flows, &known, packet, out),
       Frame::Ask { .. } | Frame::Backlog { .. } | Frame::Carry { .. } | Frame::Held { .. } => {
         return Err(Code::FrameWrongTarget);
       }
-      Frame::Found(flow) => self.found(now, from, flow, out),
+      Frame::Found { flow, service } => self.found(now, from, flow, service, out),
       Frame::Grant(load) => self.granted(now, from, load, out),
       Frame::Handover { flows, part, parts } => {
         let handed = self.handed.entry(from).or_default();
@@ -37,11 +40,13 @@
       }
       Frame::Past {
         known,
+        led,
         part,
         parts,
         past,
       } => {
         self.targets.remember(now, &past);
+        self.spread.remember(now, &led);
         self.history.take(now, from, part, parts, known);
         self.conclude_answered(now, out);
       }
@@ -51,7 +56,7 @@
         self.refused(now, from, flow, refusal, load, out);
       }
       Frame::Status(status) => self.status(now, from, &status, out),
-      Frame::Unsure(flows) => self.unsure(now, from, &flows, out),
+      Frame::Unsure { flows, service } => self.unsure(now, from, &flows, service, out),
     }
     Ok(())
   }
@@ -105,8 +110,10 @@
       .into_iter()
       .flat_map(|held| held.routes.values())
     {
-      let lowest = self.lowest.entry(route.service.clone()).or_default();
-      *lowest = route.priority.max(*lowest);
+      for backend in route.backends.taking() {
+        let lowest = self.lowest.entry(backend.service.clone()).or_default();
+        *lowest = route.priority.max(*lowest);
+      }
     }
   }
 }
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -10,7 +10,7 @@
   crate::{
     Code,
     datagram::{
-      Codec, Flow, Head, Outbox, Service,
+      Codec, Flow, Head, Outbox, Service, Weight,
       frame::{Purpose, Refusal},
     },
   },
@@ -23,17 +23,22 @@
     &mut self,
     now: Instant,
     head: &Head,
-    service: &Service,
     packet: &[u8],
     out: &mut Outbox,
   ) -> Result<(), Code> {
     let mut opening = Opening::new::<C>(now, head, packet);
     opening.may_be_open |= now < self.unsure_until;
     self.end_search(&head.flow);
+    let route = self.spread.catalog().route(&head.flow.route);
+    let takes = |service| route.is_some_and(|route| route.backends.takes_digest(service));
     if let Some(place) = self.flows.get_mut(&head.flow) {
-      let agent = place.agent;
+      let (agent, service) = (place.agent, place.service);
       match &mut place.state {
         State::Dead => {}
+        State::Open | State::Opening(_) if !takes(service) => {
+          // A configuration has led the address elsewhere since.
+          opening.may_be_open = true;
+        }
         State::Open => {
           // The answer of its target was lost on the way, or is.
           place.seen = now;
@@ -56,18 +61,38 @@
     if self.flows.len() >= self.tuning.flows_max {
       return Err(Code::QueueFull);
     }
-    self.place(now, head.flow, service, opening, out)
+    self.place(now, head.flow, opening, out)
   }
 
-  /// Sends an opening packet to the best target that was not tried, else to the best.
+  /// The service that a new flow belongs to: by the weights of its address, of those that have a target
+  /// which may take it, so that no caller is turned away while others of the set serve. One whose
+  /// targets are only busy keeps its share.
+  fn destination(&self, now: Instant, flow: &Flow) -> Option<Service> {
+    let route = self.spread.catalog().route(&flow.route)?;
+    let ranked = route.backends.ranked(flow);
+    let first = *ranked.first()?;
+    if ranked.len() == 1 {
+      return Some(first.service.clone());
+    }
+    let mut ranked = ranked.into_iter();
+    let taking = ranked.find(|backend| self.targets.takes(now, &backend.service));
+    Some(taking.unwrap_or(first).service.clone())
+  }
+
+  /// Sends an opening packet to the best target of its service that was not tried, else to the best.
   pub(super) fn place(
     &mut self,
     now: Instant,
     flow: Flow,
-    service: &Service,
     mut opening: Opening,
     out: &mut Outbox,
   ) -> Result<(), Code> {
+    let Some(service) = self.destination(now, &flow) else {
+      log::info!(flow:% = flow; "balancer: no service takes new flows of the route.");
+      self.give_up(now, &flow, &opening, out);
+      return Err(Code::PacketUnroutable);
+    };
+    let service = &service;
     let mut choice = self.choose(now, &flow, service, &opening.tried);
     if choice.is_none() && !opening.tried.is_empty() {
       opening.tried.clear();
@@ -82,7 +107,7 @@
     };
     // Where some wait, the loads known here are too old: up to 110 of 225 flows in 0.2 s were turned
     // away by targets (by the logs). A new one goes first with the next place that is granted.
-    if self.parking.waits(service) || self.is_too_long(&flow, choice.wait_ms) {
+    if self.parking.waits(service) || self.is_too_long(&flow, service, choice.wait_ms) {
       return self.park(now, flow, service, opening, Some(choice), out);
     }
     self.send_to(now, flow, service, opening, choice, out);
@@ -108,7 +133,8 @@
     log::info!(
       flow:% = flow, service:% = service, to:% = agent, before = opening.tried.len(),
       age:? = now.saturating_duration_since(opening.first), granted = is_granted,
-      wait_ms = wait_ms, version:% = self.spread.catalog().version();
+      wait_ms = wait_ms, version:% = self.spread.catalog().version(),
+      weight:% = self.weight(&flow, service);
       "balancer: flow is placed."
     );
     opening.tried.push(agent);
@@ -116,28 +142,37 @@
     opening.deadline = now + self.patience.wait();
     self.targets.placed(agent);
     self.openings.insert((opening.deadline, flow));
+    let service = service.digest();
     self.carry(agent, Purpose::Open, service, &opening.packet, out);
     let place = Place {
       agent,
       seen: now,
+      service,
       state: State::Opening(opening),
     };
     self.flows.insert(flow, place);
   }
 
+  /// What a service takes of the new flows to an address, for the log.
+  fn weight(&self, flow: &Flow, service: &Service) -> Weight {
+    let route = self.spread.catalog().route(&flow.route);
+    let weight = route.map(|route| route.backends.weight(service));
+    weight.unwrap_or_default()
+  }
+
   /// Whether a new flow would wait so long that it is better told at once: what waits in vain
   /// makes all others wait.
-  pub(super) fn is_too_long(&self, flow: &Flow, wait_ms: f64) -> bool {
-    wait_ms > self.limit_ms(flow)
+  pub(super) fn is_too_long(&self, flow: &Flow, service: &Service, wait_ms: f64) -> bool {
+    wait_ms > self.limit_ms(flow, service)
   }
 
   /// How long a new flow may wait for its answer, in milliseconds; longer where others of its
   /// service matter less, so that it is not they who make it wait in vain.
-  fn limit_ms(&self, flow: &Flow) -> f64 {
+  fn limit_ms(&self, flow: &Flow, service: &Service) -> f64 {
     let Some(route) = self.spread.catalog().route(&flow.route) else {
       return f64::MAX;
     };
-    let lowest = self.lowest.get(&route.service);
+    let lowest = self.lowest.get(service);
     let part = if lowest.is_some_and(|lowest| route.priority < *lowest) {
       self.tuning.wait_part_first
     } else {
@@ -162,13 +197,12 @@
     service: &Service,
     tried: &Tried,
   ) -> Option<Choice> {
-    let limit_ms = self.limit_ms(flow);
+    let limit_ms = self.limit_ms(flow, service);
     self.targets.choose(now, service, tried, limit_ms)
   }
 
   /// An opening packet goes on to the next target.
   pub(super) fn place_next(&mut self, now: Instant, flow: Flow, answered: bool, out: &mut Outbox) {
-    let service = self.spread.catalog().service(&flow.route).cloned();
     let Some(Place {
       state: State::Opening(opening),
       ..
@@ -176,7 +210,7 @@
     else {
       return;
     };
-    let Some(service) = service else {
+    let Some(service) = self.destination(now, &flow) else {
       return;
     };
     let mut opening = opening.clone();
@@ -189,7 +223,7 @@
       }
       return;
     }
-    if let Err(code) = self.place(now, flow, &service, opening, out) {
+    if let Err(code) = self.place(now, flow, opening, out) {
       self.counter.count(code);
     }
   }
@@ -204,12 +238,14 @@
     self.targets.loaded(now, from, load);
     self.targets.opened(from);
     self.unpark(&flow);
+    let service = self.targets.service(from).map(Service::digest);
     let Some(place) = self.flows.get_mut(&flow) else {
       return;
     };
     if let State::Parked(..) = place.state {
       // One that was asked before it was parked.
       place.agent = from;
+      place.service = service.unwrap_or(place.service);
       place.state = State::Open;
     }
     if let State::Opening(opening) = &place.state {
@@ -222,6 +258,11 @@
       self.counter.observe("open", time);
       self.patience.observe(time);
       self.openings.remove(&(opening.deadline, flow));
+      place.service = if place.agent == from {
+        place.service
+      } else {
+        service.unwrap_or(place.service)
+      };
       place.agent = from;
       place.state = State::Open;
     }
--- a/src/datagram/balancer/packets.rs
+++ b/src/datagram/balancer/packets.rs
@@ -4,7 +4,7 @@
   super::{egress::Waiting, machine::Machine, place::State},
   crate::{
     Code,
-    datagram::{Codec, Flow, Frame, Head, Outbox, Service, Via, frame::Purpose},
+    datagram::{Codec, Flow, Frame, Head, Outbox, Via, frame::Purpose, service::Digest},
   },
   std::{
     net::SocketAddrV4,
@@ -24,29 +24,22 @@
   ) -> Result<(), Code> {
     self.wake(now);
     let head = self.codec.read_from_caller(packet)?;
-    let Some(service) = self.spread.catalog().service(&head.flow.route).cloned() else {
+    if self.spread.catalog().route(&head.flow.route).is_none() {
       return self.without_route(now, &head, out);
-    };
+    }
     if head.opens {
-      return self.open(now, &head, &service, packet, out);
+      return self.open(now, &head, packet, out);
     }
     if self.egress.holds(now, &head) {
       let taken = self.egress.push(head, packet);
       return if taken { Ok(()) } else { Err(Code::QueueFull) };
     }
-    self.forward(now, &head, &service, packet, out);
+    self.forward(now, &head, packet, out);
     Ok(())
   }
 
   /// Sends a packet of an open flow where the flow is.
-  pub(super) fn forward(
-    &mut self,
-    now: Instant,
-    head: &Head,
-    service: &Service,
-    packet: &[u8],
-    out: &mut Outbox,
-  ) {
+  pub(super) fn forward(&mut self, now: Instant, head: &Head, packet: &[u8], out: &mut Outbox) {
     match self.flows.get_mut(&head.flow) {
       Some(place) if matches!(place.state, State::Dead) => {
         self.reset(&head.flow, head.acknowledges, out);
@@ -55,19 +48,19 @@
         // A target that another balancer had asked opened it.
         self.unpark(&head.flow);
         self.flows.remove(&head.flow);
-        self.search(now, head, service, packet, None);
+        self.search(now, head, packet, None);
       }
       Some(place) => {
         // Its caller was answered; if not from there, the agent says so.
         place.state = State::Open;
         place.seen = now;
-        let agent = place.agent;
+        let (agent, service) = (place.agent, place.service);
         let away = self.absences.is_away(now, agent);
         if !away || !self.absences.hold(agent, *head, packet) {
           self.carry(agent, Purpose::Deliver, service, packet, out);
         }
       }
-      None => self.search(now, head, service, packet, None),
+      None => self.search(now, head, packet, None),
     }
   }
 
@@ -75,8 +68,8 @@
   pub(super) fn send_waiting(&mut self, now: Instant, out: &mut Outbox) {
     while let Some(Waiting { head, packet }) = self.egress.pop(now) {
       let before = out.size();
-      if let Some(service) = self.spread.catalog().service(&head.flow.route).cloned() {
-        self.forward(now, &head, &service, &packet, out);
+      if self.spread.catalog().route(&head.flow.route).is_some() {
+        self.forward(now, &head, &packet, out);
       }
       self.egress.charge(now, out.size() - before);
     }
@@ -116,14 +109,14 @@
     &self,
     agent: SocketAddrV4,
     purpose: Purpose,
-    service: &Service,
+    service: Digest,
     packet: &[u8],
     out: &mut Outbox,
   ) {
     let frame = Frame::Carry {
       complete: self.spread.catalog().complete(),
       purpose,
-      service: service.digest(),
+      service,
       version: self.spread.catalog().version(),
     };
     out.frame(agent, &frame, packet);
--- a/src/datagram/balancer/place.rs
+++ b/src/datagram/balancer/place.rs
@@ -1,6 +1,6 @@
 use {
   super::parking::Lane,
-  crate::datagram::{Codec, Head},
+  crate::datagram::{Codec, Head, service::Digest},
   smallvec::SmallVec,
   std::{net::SocketAddrV4, time::Instant},
 };
@@ -15,6 +15,8 @@
   pub agent: SocketAddrV4,
   /// When its last packet came.
   pub seen: Instant,
+  /// The service that has it, whatever its address leads to by now.
+  pub service: Digest,
   /// How far it is.
   pub state: State,
 }
--- a/src/datagram/balancer/questions.rs
+++ b/src/datagram/balancer/questions.rs
@@ -1,8 +1,9 @@
 use {
   crate::{
     Revision,
-    datagram::{Flow, Frame, Outbox, Rate, frame::ASKED_MAX},
+    datagram::{Flow, Frame, Outbox, Rate, frame::ASKED_MAX, service::Digest},
   },
+  smallvec::SmallVec,
   std::{
     collections::BTreeMap,
     net::SocketAddrV4,
@@ -20,6 +21,9 @@
 /// The bytes of a question about one flow, with the network's own head.
 const SIZE: f64 = 64.0;
 
+/// The services that may have a flow.
+pub type Digests = SmallVec<[Digest; 2]>;
+
 /// Questions about flows that wait to be sent. The more there are, the more flows each names: they
 /// leave at a bounded rate, so that searching never fills the link that the answers need.
 #[derive(Debug)]
@@ -28,8 +32,8 @@
   allowed: Instant,
   /// The time that each takes.
   each: Duration,
-  /// By the agent and the digest of the service's name.
-  pending: BTreeMap<(SocketAddrV4, u64), Vec<(Flow, u32)>>,
+  /// By the agent and the services that may have the flows.
+  pending: BTreeMap<(SocketAddrV4, Digests), Vec<(Flow, u32)>>,
 }
 
 impl Questions {
@@ -50,12 +54,12 @@
     &mut self,
     now: Instant,
     agent: SocketAddrV4,
-    service: u64,
+    services: &Digests,
     flow: Flow,
     acknowledges: u32,
   ) {
     self.allowed = self.allowed.max(now);
-    let flows = self.pending.entry((agent, service)).or_default();
+    let flows = self.pending.entry((agent, services.clone())).or_default();
     if flows.last() != Some(&(flow, acknowledges)) {
       flows.push((flow, acknowledges));
     }
@@ -71,14 +75,14 @@
     if self.deadline().is_none_or(|deadline| deadline > now) {
       return;
     }
-    for ((agent, service), flows) in std::mem::take(&mut self.pending) {
+    for ((agent, services), flows) in std::mem::take(&mut self.pending) {
       for flows in flows.chunks(ASKED_MAX) {
         self.spend(now);
         let flows = flows.to_vec();
         let frame = Frame::Ask {
           complete,
           flows,
-          service,
+          services: services.to_vec(),
         };
         out.frame(agent, &frame, &[]);
       }
--- a/src/datagram/balancer/remembering.rs
+++ b/src/datagram/balancer/remembering.rs
@@ -1,4 +1,5 @@
-//! What balancers tell each other of targets that have left the list.
+//! What balancers tell each other of the past: targets that have left the list, and services that
+//! addresses led to.
 
 use {
   super::machine::Machine,
@@ -24,15 +25,19 @@
     }
   }
 
-  /// Tells a balancer that has just started which targets have left the list.
+  /// Tells a balancer that has just started which targets have left the list, and which services
+  /// addresses led to.
   pub(super) fn tell_past(&self, now: Instant, to: SocketAddrV4, out: &mut Outbox) {
     let past = self.targets.past(now, self.spread.catalog());
     let known = self.history.is_known();
-    let parts = past.len().div_ceil(PAST_MAX).max(1);
+    let led = self.spread.led(now);
+    let parts = past.len().max(led.len()).div_ceil(PAST_MAX).max(1);
     for part in 0..parts {
       let named = past.iter().skip(part * PAST_MAX).take(PAST_MAX);
+      let led = led.iter().skip(part * PAST_MAX).take(PAST_MAX);
       let frame = Frame::Past {
         known,
+        led: led.cloned().collect(),
         part: part as u16,
         parts: parts as u16,
         past: named.cloned().collect(),
--- a/src/datagram/balancer/restarting.rs
+++ b/src/datagram/balancer/restarting.rs
@@ -2,7 +2,7 @@
 
 use {
   super::machine::Machine,
-  crate::datagram::{Codec, Frame, Outbox, frame::Role},
+  crate::datagram::{Codec, Frame, Outbox, Service, frame::Role},
   std::{net::SocketAddrV4, time::Instant},
 };
 
@@ -13,7 +13,11 @@
   /// An agent has started again: it is told which flows it had, by its own last word and as far
   /// as known here.
   pub(super) fn remind(&mut self, now: Instant, agent: SocketAddrV4, out: &mut Outbox) {
-    let there = self.flows.iter().filter(|(_, place)| place.is_at(agent));
+    let service = self.targets.service(agent).map(Service::digest);
+    let there = self.flows.iter().filter(|(_, place)| {
+      // The address may have gone to an upstream of another service.
+      place.is_at(agent) && service.is_none_or(|service| service == place.service)
+    });
     let mut known = there.map(|(flow, _)| *flow).collect::<Vec<_>>();
     // In one order, so that a run can be played again.
     known.sort_unstable();
@@ -44,8 +48,8 @@
       if self.egress.paces(&head) && self.egress.push(head, &packet) {
         continue;
       }
-      if let Some(service) = self.spread.catalog().service(&head.flow.route).cloned() {
-        self.forward(now, &head, &service, &packet, out);
+      if self.spread.catalog().route(&head.flow.route).is_some() {
+        self.forward(now, &head, &packet, out);
       }
     }
   }
--- a/src/datagram/balancer/search.rs
+++ b/src/datagram/balancer/search.rs
@@ -1,5 +1,5 @@
 use {
-  crate::Revision,
+  crate::{Revision, datagram::service::Digest},
   smallvec::SmallVec,
   std::{
     net::SocketAddrV4,
@@ -39,8 +39,8 @@
   tried: Agents,
   /// Who of them was given it since the last question.
   trying: Agents,
-  /// Who of them could not say.
-  unsure: Agents,
+  /// Who of them could not say, and the service of its upstream.
+  unsure: SmallVec<[(SocketAddrV4, Digest); 12]>,
   /// Who has not said yes or no.
   pub waiting: Agents,
   /// Whether those of other data centres are asked too.
@@ -61,7 +61,7 @@
       probe: None,
       tried: Agents::new(),
       trying: Agents::new(),
-      unsure: Agents::new(),
+      unsure: SmallVec::new(),
       waiting: Agents::new(),
       wide: false,
     }
@@ -107,9 +107,10 @@
   }
 
   /// An agent cannot say whether it has the flow without a packet of it to try.
-  pub fn is_unsure(&mut self, agent: SocketAddrV4) {
-    if self.waiting.contains(&agent) && !self.unsure.contains(&agent) {
-      self.unsure.push(agent);
+  pub fn is_unsure(&mut self, agent: SocketAddrV4, service: Digest) {
+    let known = self.unsure.iter().any(|(unsure, _)| *unsure == agent);
+    if self.waiting.contains(&agent) && !known {
+      self.unsure.push((agent, service));
     }
   }
 
@@ -121,7 +122,7 @@
   /// Waits only for those agents.
   pub fn keep(&mut self, kept: impl Fn(SocketAddrV4) -> bool) {
     self.waiting.retain(|agent| kept(*agent));
-    self.unsure.retain(|agent| kept(*agent));
+    self.unsure.retain(|(agent, _)| kept(*agent));
     self.trying.retain(|agent| kept(*agent));
   }
 
@@ -140,14 +141,14 @@
     self.wide && 2 * self.unsure.len() > self.asked.len()
   }
 
-  /// Who may be given a packet to try.
-  pub fn to_try(&self) -> Agents {
+  /// Who may be given a packet to try, and the services of their upstreams.
+  pub fn to_try(&self) -> SmallVec<[(SocketAddrV4, Digest); 12]> {
     if self.trying.len() == self.unsure.len() {
-      return Agents::new();
+      return SmallVec::new();
     }
     let unsure = self.unsure.iter().copied();
     unsure
-      .filter(|agent| !self.trying.contains(agent))
+      .filter(|(agent, _)| !self.trying.contains(agent))
       .collect()
   }
 
@@ -167,7 +168,7 @@
   /// An agent has started again: what its run before said no longer counts.
   pub fn try_again(&mut self, agent: SocketAddrV4) {
     self.trying.retain(|trying| *trying != agent);
-    self.unsure.retain(|unsure| *unsure != agent);
+    self.unsure.retain(|(unsure, _)| *unsure != agent);
   }
 
   /// The held packets that an agent has not been given.
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -4,6 +4,7 @@
   super::{
     machine::Machine,
     place::{Place, State},
+    questions::Digests,
     search::Search,
   },
   crate::{
@@ -11,6 +12,7 @@
     datagram::{
       Codec, Flow, Head, Outbox, Service,
       frame::{Known, Purpose},
+      service::Digest,
     },
   },
   std::{
@@ -24,6 +26,9 @@
 /// in its life, since one that is cut off from a full link may be silent for ten seconds.
 pub(super) const TRY_EVERY: Duration = Duration::from_mins(1);
 
+/// The service of a flow that nobody has.
+const NOWHERE: Digest = Digest(0);
+
 impl<C: Codec> Machine<C> {
   /// Asks those that may have a flow, and holds the packet until one of them says that it has:
   /// first those of this data centre, where most flows are, and then all.
@@ -31,21 +36,21 @@
     &mut self,
     now: Instant,
     head: &Head,
-    service: &Service,
     packet: &[u8],
     except: Option<SocketAddrV4>,
   ) {
     let flow = head.flow;
     if !self.searches.contains_key(&flow) {
+      let services = self.spread.catalog().services(&flow.route);
       let mut search = Search::new(now, head.acknowledges, except);
-      let mut asked = search.extend(self.targets.near_holders(service));
+      let mut asked = search.extend(self.targets.near_holders(&services));
       if asked.is_empty() {
         search.wide = true;
-        asked = search.extend(self.targets.holders(service));
+        asked = search.extend(self.targets.holders(&services));
       }
       if asked.is_empty() {
         // Nobody who could say no is no proof either.
-        log::info!(flow:% = flow, service:% = service; "balancer: flow has nobody to be asked.");
+        log::info!(flow:% = flow, services = services.len(); "balancer: flow has nobody to be asked.");
         self.counter.count(Code::FlowUnknown);
         return;
       }
@@ -81,12 +86,7 @@
     out: &mut Outbox,
   ) {
     self.spread.is_behind(now, from, known.complete);
-    let services = flows
-      .iter()
-      .filter_map(|flow| self.spread.catalog().service(&flow.route));
-    for service in services.collect::<BTreeSet<_>>() {
-      self.targets.learn(now, service, &known.past);
-    }
+    self.learn_past(now, from, flows, known);
     for flow in flows {
       let here = self.flows.get(flow);
       let here =
@@ -106,6 +106,30 @@
     }
   }
 
+  /// An agent names targets of its service that have left the list. Where the service is not known here
+  /// it is one of those that the flows may be at.
+  fn learn_past(&mut self, now: Instant, from: SocketAddrV4, flows: &[Flow], known: &Known) {
+    if known.past.is_empty() {
+      return;
+    }
+    let services = match self.targets.service(from) {
+      Some(own) => BTreeSet::from([own.clone()]),
+      None => self.services_of(flows),
+    };
+    for service in &services {
+      self.targets.learn(now, service, &known.past);
+    }
+  }
+
+  /// The services that may have flows.
+  fn services_of(&self, flows: &[Flow]) -> BTreeSet<Service> {
+    let routes = flows.iter().map(|flow| flow.route);
+    let routes = routes.collect::<BTreeSet<_>>();
+    let catalog = self.spread.catalog();
+    let services = routes.iter().flat_map(|route| catalog.services(route));
+    services.collect()
+  }
+
   /// A packet was sent where its flow is not.
   fn search_returned(&mut self, now: Instant, from: SocketAddrV4, flow: Flow, packet: &[u8]) {
     log::info!(flow:% = flow, from:% = from; "balancer: flow is not where it was.");
@@ -113,9 +137,9 @@
       self.counter.count(Code::PacketTooShort);
       return;
     };
-    let service = self.spread.catalog().service(&flow.route).cloned();
-    if let (Some(service), false) = (service, self.flows.contains_key(&flow)) {
-      self.search(now, &head, &service, packet, Some(from));
+    let routed = self.spread.catalog().route(&flow.route).is_some();
+    if routed && !self.flows.contains_key(&flow) {
+      self.search(now, &head, packet, Some(from));
     }
   }
 
@@ -138,9 +162,8 @@
       return;
     };
     search.wide = true;
-    let service = self.spread.catalog().service(&flow.route);
-    let holders = service.iter();
-    let holders = holders.flat_map(|service| self.targets.holders(service));
+    let services = self.spread.catalog().services(&flow.route);
+    let holders = self.targets.holders(&services);
     // Whoever has become known since is asked too.
     let (new, acknowledges) = (search.extend(holders), search.acknowledges);
     let known = self.spread.catalog().complete() >= search.needs;
@@ -163,24 +186,66 @@
       complete:% = self.spread.catalog().complete(), confirmed:? = self.spread.confirmed(now);
       "balancer: flow is nowhere and is reset."
     );
+    self.bury(now, flow, acknowledges, out);
+  }
+
+  /// Flows were open at an agent's upstream, which has forgotten them. Nobody else can have them, so that
+  /// their callers are told without a search.
+  pub(super) fn lost(
+    &mut self,
+    now: Instant,
+    from: SocketAddrV4,
+    flows: &[Flow],
+    packet: &[u8],
+    out: &mut Outbox,
+  ) {
+    let head = self.codec.read_from_caller(packet).ok();
+    for flow in flows {
+      let elsewhere = |place: &Place| place.agent != from && !matches!(place.state, State::Dead);
+      if self.flows.get(flow).is_some_and(elsewhere) {
+        continue;
+      }
+      let search = self.end_search(flow).map(|search| search.acknowledges);
+      let sent = head.filter(|head| head.flow == *flow);
+      let acknowledges = sent.map(|head| head.acknowledges).or(search);
+      log::info!(flow:% = flow, from:% = from; "balancer: flow is lost and is reset.");
+      match acknowledges {
+        Some(acknowledges) => self.bury(now, *flow, acknowledges, out),
+        // Its caller's next packet is searched for.
+        None => {
+          self.flows.remove(flow);
+        }
+      }
+    }
+  }
+
+  /// A flow is nowhere: its caller is told, now and with each packet that still comes.
+  fn bury(&mut self, now: Instant, flow: Flow, acknowledges: u32, out: &mut Outbox) {
     self.counter.count(Code::FlowUnknown);
-    self.flows.insert(
-      flow,
-      Place {
-        agent: self.spread.address(),
-        seen: now,
-        state: State::Dead,
-      },
-    );
+    let place = Place {
+      agent: self.spread.address(),
+      seen: now,
+      service: NOWHERE,
+      state: State::Dead,
+    };
+    self.flows.insert(flow, place);
     self.reset(&flow, acknowledges, out);
   }
 
-  pub(super) fn found(&mut self, now: Instant, from: SocketAddrV4, flow: Flow, out: &mut Outbox) {
+  pub(super) fn found(
+    &mut self,
+    now: Instant,
+    from: SocketAddrV4,
+    flow: Flow,
+    service: Digest,
+    out: &mut Outbox,
+  ) {
     self.flows.insert(
       flow,
       Place {
         agent: from,
         seen: now,
+        service,
         state: State::Open,
       },
     );
@@ -190,14 +255,14 @@
     let time = now.saturating_duration_since(search.began);
     self.counter.observe("search", time);
     log::info!(flow:% = flow, at:% = from; "balancer: flow is found.");
-    let Some(service) = self.spread.catalog().service(&flow.route).cloned() else {
+    if self.spread.catalog().route(&flow.route).is_none() {
       return;
-    };
+    }
     for packet in search.packets_for(from) {
       let held = self.codec.read_from_caller(packet).ok();
       let held = held.filter(|head| self.egress.paces(head));
       if held.is_none_or(|head| !self.egress.push(head, packet)) {
-        self.carry(from, Purpose::Deliver, &service, packet, out);
+        self.carry(from, Purpose::Deliver, service, packet, out);
       }
     }
   }
@@ -208,11 +273,12 @@
     now: Instant,
     from: SocketAddrV4,
     flows: &[Flow],
+    service: Digest,
     out: &mut Outbox,
   ) {
     for flow in flows {
       if let Some(search) = self.searches.get_mut(flow) {
-        search.is_unsure(from);
+        search.is_unsure(from, service);
         self.conclude(now, *flow, out);
         self.try_unsure(now, *flow, out);
       }
@@ -226,9 +292,9 @@
   /// remembers more, all have lost power: somebody is silent for seconds then, and those that cannot
   /// say try at once.
   fn try_unsure(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
-    let Some(service) = self.spread.catalog().service(&flow.route).cloned() else {
+    if self.spread.catalog().route(&flow.route).is_none() {
       return;
-    };
+    }
     let Some(mut search) = self.searches.remove(&flow) else {
       return;
     };
@@ -241,11 +307,11 @@
       let recent = self.tried.get(&flow).is_some_and(recent);
       agents.truncate(usize::from(!recent));
     }
-    for agent in agents {
+    for (agent, service) in agents {
       if let Some(packet) = search.probe(agent) {
         self.tried.insert(flow, now);
         self.questions.spend(now);
-        self.carry(agent, Purpose::Test, &service, packet, out);
+        self.carry(agent, Purpose::Test, service, packet, out);
       }
     }
     self.searches.insert(flow, search);
@@ -305,12 +371,12 @@
 
   /// Puts questions to those that wait for the next tick.
   fn ask(&mut self, now: Instant, flow: Flow, acknowledges: u32, agents: &[SocketAddrV4]) {
-    let Some(service) = self.spread.catalog().service(&flow.route) else {
-      return;
-    };
-    let service = service.digest();
+    let services = self.spread.catalog().services(&flow.route);
+    let services = services.iter().map(Service::digest).collect::<Digests>();
     for agent in agents {
-      self.questions.add(now, *agent, service, flow, acknowledges);
+      self
+        .questions
+        .add(now, *agent, &services, flow, acknowledges);
     }
   }
 }
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -5,6 +5,7 @@
     datagram::{
       Agents, Catalog, Entry, Load, Service, Tuning, Warmup,
       frame::{Gone, Status},
+      target::Born,
     },
   },
   serde_json::json,
@@ -22,6 +23,8 @@
 /// A target as a balancer sees it, by the address of its agent.
 #[derive(Clone, Debug)]
 pub struct Seen {
+  /// Which run of the upstream the list names.
+  born: Option<Born>,
   /// The data centre that it stands in.
   pub data_centre: String,
   /// When its entry left the list.
@@ -42,6 +45,7 @@
 impl Seen {
   fn new(entry: &Entry) -> Self {
     Self {
+      born: entry.target.born,
       data_centre: String::new(),
       gone: None,
       heard: None,
@@ -60,6 +64,13 @@
     if self.gone.is_some() && entry.gone.is_none() {
       self.unanswered = None;
     }
+    if entry.target.born > self.born {
+      // What was learnt of the run before says nothing of this one.
+      self.load = Load::default();
+      self.pending = 0;
+      self.unanswered = None;
+    }
+    self.born = entry.target.born.max(self.born);
     self.data_centre.clone_from(&entry.target.data_centre);
     self.gone = entry.gone;
     self.presence = entry.target.presence;
@@ -151,17 +162,18 @@
     self.by_agent.get(&agent).map(|seen| &seen.service)
   }
 
-  /// The agents that may have a flow of a service: those of listed targets and of past ones, and those
+  /// The agents that may have a flow of services: those of listed targets and of past ones, and those
   /// that are heard of and that nobody names. A target that left the list may live, and where nobody
   /// remembers it, its agent still tells of itself.
-  pub fn holders(&self, service: &Service) -> impl Iterator<Item = SocketAddrV4> {
-    let holders = self.services.get(service).into_iter().flatten();
-    holders.chain(self.strangers.keys()).copied()
+  pub fn holders(&self, services: &[Service]) -> impl Iterator<Item = SocketAddrV4> {
+    let holders = services.iter();
+    let holders = holders.filter_map(|service| self.services.get(service));
+    holders.flatten().chain(self.strangers.keys()).copied()
   }
 
   /// Those of them that stand in this data centre.
-  pub fn near_holders(&self, service: &Service) -> impl Iterator<Item = SocketAddrV4> {
-    self.holders(service).filter(|agent| {
+  pub fn near_holders(&self, services: &[Service]) -> impl Iterator<Item = SocketAddrV4> {
+    self.holders(services).filter(|agent| {
       let seen = self.by_agent.get(agent);
       seen.is_some_and(|seen| seen.data_centre == self.data_centre)
     })
--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -44,6 +44,7 @@
       let place = Place {
         agent: self.spread.address(),
         seen: now,
+        service: service.digest(),
         state: State::Parked(lane, opening),
       };
       self.flows.insert(flow, place);
@@ -102,7 +103,8 @@
     let parked = self.most_urgent(now, lane, &choice)?;
     let (first, flow) = parked;
     let waited_ms = now.saturating_duration_since(first).as_secs_f64() * 1000.0;
-    let fits = choice.is_free || !self.is_too_long(&flow, choice.wait_ms + waited_ms);
+    let fits =
+      choice.is_free || !self.is_too_long(&flow, &lane.service, choice.wait_ms + waited_ms);
     fits.then_some((parked, choice))
   }
 
@@ -129,7 +131,8 @@
     now.saturating_duration_since(first) + wait <= route.objective
   }
 
-  /// Sends a flow that waited to a target; false where its route was dropped meanwhile.
+  /// Sends a flow that waited to a target; false where its route no longer leads to the service: it is
+  /// placed as a new one, if the route is still there.
   fn send_parked(
     &mut self,
     now: Instant,
@@ -143,9 +146,15 @@
     let Some(opening) = self.parked(&flow).cloned() else {
       return false;
     };
-    if self.spread.catalog().service(&flow.route) != Some(&lane.service) {
+    let Some(route) = self.spread.catalog().route(&flow.route) else {
       self.give_up(now, &flow, &opening, out);
       return false;
+    };
+    if !route.backends.takes(&lane.service) {
+      if let Err(code) = self.place(now, flow, opening, out) {
+        self.counter.count(code);
+      }
+      return false;
     }
     let waited = now.saturating_duration_since(opening.began);
     self.counter.observe("wait", waited);
--- a/src/datagram/catalog.rs
+++ b/src/datagram/catalog.rs
@@ -1,6 +1,7 @@
 use {
-  super::{Closures, Configuration, News, Record, Route, Service, Target, Warmup, target},
+  super::{Closures, Configuration, Former, News, Record, Route, Service, Target, Warmup, target},
   crate::Revision,
+  smallvec::SmallVec,
   std::{
     collections::{BTreeMap, BTreeSet, HashSet},
     net::SocketAddrV4,
@@ -30,6 +31,7 @@
   closures: Closures,
   complete: Revision,
   configuration: Option<(Revision, Arc<Configuration>)>,
+  former: Former,
   /// What left the list up to this revision may not be known here.
   removals_from: Revision,
   targets: BTreeMap<target::Id, Entry>,
@@ -89,6 +91,7 @@
 
   /// Forgets targets that left long ago.
   pub fn expire(&mut self, now: Instant) {
+    self.former.expire(now);
     let removals_from = &mut self.removals_from;
     self.targets.retain(|_, entry| {
       let kept = |gone| now.saturating_duration_since(gone) < GONE_KEPT;
@@ -126,9 +129,33 @@
     self.configuration()?.routes.get(address)
   }
 
-  /// The service behind an address, as far as known.
-  pub fn service(&self, address: &SocketAddrV4) -> Option<&Service> {
-    self.route(address).map(|route| &route.service)
+  /// The services that may have flows to an address: all that it leads to, and all that it is known
+  /// to have led to in the lifetime of the flows. None where it leads nowhere now.
+  pub fn services(&self, address: &SocketAddrV4) -> SmallVec<[Service; 2]> {
+    let Some(route) = self.route(address) else {
+      return SmallVec::new();
+    };
+    let mut services = route.backends.services().cloned().collect::<SmallVec<_>>();
+    for service in self.former.of(address) {
+      if !services.contains(service) {
+        services.push(service.clone());
+      }
+    }
+    services
+  }
+
+  /// The services that addresses led to before, besides those of now.
+  pub fn former(&self) -> &Former {
+    &self.former
+  }
+
+  /// An address led to a service until some time ago, by a peer's word; true where that was not known.
+  pub fn remember(&mut self, at: Instant, address: SocketAddrV4, service: &Service) -> bool {
+    let known = self.services(&address).contains(service);
+    if !known {
+      self.former.learn(address, service, at);
+    }
+    !known
   }
 
   /// What came after a revision; the whole where removals since then may not be known here.
@@ -185,6 +212,9 @@
           .as_ref()
           .is_none_or(|(held, known)| *held < revision && known.version < configuration.version);
         if newer {
+          if let Some((_, before)) = &self.configuration {
+            self.former.replace(now, before, &configuration);
+          }
           self.configuration = Some((revision, Arc::new(configuration)));
           change.configuration = true;
         }
@@ -209,6 +239,13 @@
     if known.is_some_and(|entry| entry.revision >= revision) {
       return;
     }
+    // A word of a run before, which was written late.
+    let born = target.as_ref().and_then(|target| target.born);
+    if let (Some(born), Some(held)) = (born, known.and_then(|entry| entry.target.born))
+      && born < held
+    {
+      return;
+    }
     let entry = match (target, known) {
       (Some(target), _) => Entry {
         gone: None,
--- a/src/datagram/configuration.rs
+++ b/src/datagram/configuration.rs
@@ -1,5 +1,5 @@
 use {
-  crate::datagram::{Service, Warmup},
+  crate::datagram::{Backends, Service, Warmup},
   serde::{Deserialize, Serialize},
   std::{
     collections::BTreeMap,
@@ -35,12 +35,12 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
+  /// The services that new flows go to.
+  pub backends: Backends,
   /// The time within which a request on it is to be answered.
   pub objective: Duration,
   /// What goes first when not all can be served; 0 is the highest.
   pub priority: u8,
-  /// Where new flows go.
-  pub service: Service,
 }
 
 /// What the operator wants: where the flows to each address go.
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -1,17 +1,18 @@
 use {
-  super::{Flow, Load, News, Service, Version, handover::Passed},
+  super::{Flow, Load, News, Service, Version, handover::Passed, service::Digest},
   crate::{Code, Revision},
   serde::{Deserialize, Serialize},
   std::net::SocketAddrV4,
 };
 
 /// The first byte of a frame: the version of the layout.
-const VERSION: u8 = 0xd3;
+const VERSION: u8 = 0xd4;
 
 /// The largest frame that is sent with news in it, in bytes: it fits a common datagram.
 pub const NEWS_MAX: usize = 1200;
 
-/// How many targets that left the list one frame names at most: it fits a common datagram.
+/// How many targets that left the list, and how many services, one frame names at most: it fits a
+/// common datagram.
 pub const PAST_MAX: usize = 24;
 
 /// How many flows a question names at most: it fits a common datagram.
@@ -50,6 +51,17 @@
   pub service: Service,
 }
 
+/// A service that an address led to, and leads to no longer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Led {
+  /// The address that callers reach.
+  pub address: SocketAddrV4,
+  /// How long ago it last led there, in milliseconds.
+  pub age_ms: u32,
+  /// The service.
+  pub service: Service,
+}
+
 /// Why an agent did not have a flow opened.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Refusal {
@@ -107,6 +119,8 @@
     flows: Vec<Flow>,
     /// Where else they may be.
     known: Known,
+    /// Whether they were open here for certain and the upstream has forgotten them: they are nowhere.
+    lost: bool,
   },
   /// Which of these flows does the agent have?
   Ask {
@@ -114,8 +128,8 @@
     complete: Revision,
     /// The flows, each with what its caller last acknowledged.
     flows: Vec<(Flow, u32)>,
-    /// The digest of the service's name.
-    service: u64,
+    /// The services that may have them.
+    services: Vec<Digest>,
   },
   /// A caller's packet, which follows.
   Carry {
@@ -123,13 +137,18 @@
     complete: Revision,
     /// What is asked.
     purpose: Purpose,
-    /// The digest of the service's name.
-    service: u64,
+    /// The service that the packet is meant for.
+    service: Digest,
     /// The configuration that the sender acts on.
     version: Version,
   },
   /// The agent has the flow.
-  Found(Flow),
+  Found {
+    /// The flow.
+    flow: Flow,
+    /// The service of the agent's upstream.
+    service: Digest,
+  },
   /// Flows that a balancer knows to be at an agent, which has started again.
   Held {
     /// The flows.
@@ -144,14 +163,19 @@
   /// What the sender is and knows.
   Status(Status),
   /// The agent cannot say whether it has the flows; a packet of each would tell.
-  Unsure(Vec<Flow>),
+  Unsure {
+    /// The flows.
+    flows: Vec<Flow>,
+    /// The service of the agent's upstream.
+    service: Digest,
+  },
   // The number of a variant is on the wire: what is new comes last.
   /// New flows wait in the balancer for a target of the service.
   Backlog {
     /// How many; where none does, places that the agent keeps for the balancer are given back.
     flows: u16,
-    /// The digest of the service's name.
-    service: u64,
+    /// The service.
+    service: Digest,
   },
   /// The agent keeps a place for one of the balancer's flows that wait.
   Grant(Load),
@@ -164,12 +188,15 @@
     /// How many parts name all flows; 0 where there may be more than are named.
     parts: u16,
   },
-  /// Which targets have left the list? A balancer that has just started asks another.
+  /// Which targets have left the list, and which services addresses led to? A balancer that has just
+  /// started asks another.
   AskPast,
-  /// Targets that have left the list, in answer to that.
+  /// Both, in answer to that.
   Past {
     /// Whether the sender knows all that left in the lifetime of the flows.
     known: bool,
+    /// The services.
+    led: Vec<Led>,
     /// Which part this is, from 0 on.
     part: u16,
     /// How many parts name all that the sender knows of; there is one where it knows of none.
--- a/src/datagram/node/control.rs
+++ b/src/datagram/node/control.rs
@@ -74,10 +74,9 @@
   runtime.block_on(async {
     let reads = read(source.clone(), Arc::clone(shared));
     let asks = ask(questions, Arc::clone(shared));
-    let path = source.readiness_path();
-    let readiness = serve(settings.readiness, Arc::clone(shared), path);
-    let peers = serve(settings.peers, Arc::clone(shared), path);
-    let api = serve(settings.api, Arc::clone(shared), path);
+    let readiness = serve(settings.readiness, source, shared);
+    let peers = serve(settings.peers, source, shared);
+    let api = serve(settings.api, source, shared);
     let ((), (), readiness, peers, api) = tokio::join!(reads, asks, readiness, peers, api);
     readiness.and(peers).and(api)
   })
@@ -182,33 +181,35 @@
     .map_err(|error| Fault::new(Code::FrameTruncated, format!("{peer}: {error}")))
 }
 
-async fn serve(
+async fn serve<S: Source>(
   address: SocketAddrV4,
-  shared: Arc<Shared>,
-  readiness: &'static str,
+  source: &S,
+  shared: &Arc<Shared>,
 ) -> Result<(), Fault> {
+  let (source, shared) = (source.clone(), Arc::clone(shared));
   web::serve(address.into(), move |request| {
-    answer(request, Arc::clone(&shared), readiness)
+    answer(request, source.clone(), Arc::clone(&shared))
   })
   .await
 }
 
-async fn answer(
+async fn answer<S: Source>(
   request: Request<Incoming>,
+  source: S,
   shared: Arc<Shared>,
-  readiness: &'static str,
 ) -> Response<Full<Bytes>> {
+  let readiness = source.readiness_path();
   if request.method() != Method::GET {
     return web::answer(StatusCode::METHOD_NOT_ALLOWED, "");
   }
   match request.uri().path() {
-    METRICS => web::answer(StatusCode::OK, shared.counter.text()),
+    METRICS => web::answer(StatusCode::OK, metrics(&source, &shared)),
     SERVICES => web::answer(
       StatusCode::OK,
       resource::services(&shared.catalog()).to_string(),
     ),
     NEWS => tell_news(request.uri().query(), &shared),
-    STATE => dump(&shared).await,
+    STATE => dump(&source, &shared).await,
     path if path.starts_with(SERVICE) => show_service(&path[SERVICE.len()..], &shared),
     path if path == readiness && shared.is_ready() => web::answer(StatusCode::OK, ""),
     path if path == readiness => web::answer(StatusCode::SERVICE_UNAVAILABLE, ""),
@@ -216,12 +217,22 @@
   }
 }
 
-/// The state as the packet thread sees it.
-async fn dump(shared: &Shared) -> Response<Full<Bytes>> {
+/// The counts and times, and how much of the platform's word cannot be obeyed.
+fn metrics<S: Source>(source: &S, shared: &Shared) -> String {
+  let ignored = source.ignored().len();
+  let counts = shared.counter.text();
+  format!("{counts}fallwell_count{{name=\"ignored\"}} {ignored}\n")
+}
+
+/// The state as the packet thread sees it, and what of the platform's word cannot be obeyed.
+async fn dump<S: Source>(source: &S, shared: &Shared) -> Response<Full<Bytes>> {
   let (asker, state) = oneshot::channel();
   shared.tell(Message::Dump(asker));
   match tokio::time::timeout(ANSWER, state).await {
-    Ok(Ok(state)) => web::answer(StatusCode::OK, state.to_string()),
+    Ok(Ok(mut state)) => {
+      state["ignored"] = json!(source.ignored());
+      web::answer(StatusCode::OK, state.to_string())
+    }
     _ => web::answer(StatusCode::SERVICE_UNAVAILABLE, ""),
   }
 }
--- a/src/datagram/node/resource.rs
+++ b/src/datagram/node/resource.rs
@@ -11,7 +11,7 @@
 pub fn services(catalog: &Catalog) -> Value {
   let routed = catalog.configuration().into_iter();
   let routed = routed.flat_map(|held| held.routes.values());
-  let routed = routed.map(|route| &route.service);
+  let routed = routed.flat_map(|route| route.backends.services());
   let listed = catalog.entries().map(|(_, entry)| &entry.target.service);
   let names = routed.chain(listed).collect::<BTreeSet<_>>();
   let shown = names.into_iter().map(|name| resource(catalog, name));
@@ -47,9 +47,10 @@
   });
   let configuration = catalog.configuration();
   let routes = configuration.into_iter().flat_map(|held| &held.routes);
-  let routes = routes.filter(|(_, route)| route.service == *name);
-  let routes = routes.map(|(address, _)| address.to_string());
-  let routes = routes.collect::<Vec<_>>();
+  let led = routes.filter(|(_, route)| route.backends.services().any(|service| service == name));
+  let (routes, weights): (Vec<_>, Vec<_>) = led
+    .map(|(address, route)| (address.to_string(), route.backends.weight(name)))
+    .unzip();
   json!({
     "conditions": {
       "accepted": { "status": configuration.is_some() },
@@ -57,7 +58,12 @@
       "draining": { "status": leaving > 0, "targets": leaving },
       "in_force": { "status": !routes.is_empty() },
     },
-    "document": { "name": name, "routes": routes, "targets": targets.collect::<Vec<_>>() },
+    "document": {
+      "name": name,
+      "routes": routes,
+      "targets": targets.collect::<Vec<_>>(),
+      "weights": weights,
+    },
     "generation": catalog.version(),
     "revision": catalog.complete(),
   })
--- a/src/datagram/node/source.rs
+++ b/src/datagram/node/source.rs
@@ -16,6 +16,9 @@
     wait: Duration,
   ) -> impl Future<Output = Result<Option<News>, Fault>> + Send;
 
+  /// What operators order, and entries of the list, that was read here and cannot be obeyed, by name.
+  fn ignored(&self) -> Vec<String>;
+
   /// The path where the platform asks whether the process is ready.
   fn readiness_path(&self) -> &'static str;
 }
--- a/src/datagram/service.rs
+++ b/src/datagram/service.rs
@@ -14,10 +14,15 @@
 #[serde(from = "String", into = "String")]
 pub struct Service(Arc<str>);
 
+/// A number that stands for the name of a service in frames.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Digest(pub u64);
+
 impl Service {
-  /// A number that stands for the name in frames.
-  pub fn digest(&self) -> u64 {
-    xxh3_64(self.0.as_bytes())
+  /// The number that stands for the name.
+  pub fn digest(&self) -> Digest {
+    Digest(xxh3_64(self.0.as_bytes()))
   }
 }
 
--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -6,7 +6,7 @@
   super::{
     Catalog, Change, News, Outbox, Settings, Tuning,
     event::Origin,
-    frame::{Role, Status},
+    frame::{Led, Role, Status},
   },
   crate::Revision,
   serde_json::json,
@@ -237,6 +237,27 @@
     change
   }
 
+  /// The services that addresses led to and lead to no longer, as far as known.
+  pub fn led(&self, now: Instant) -> Vec<Led> {
+    let left = self.catalog.former().all();
+    let routed = left.filter(|(address, ..)| self.catalog.route(address).is_some());
+    let led = routed.map(|(address, service, at)| Led {
+      address,
+      age_ms: now.saturating_duration_since(at).as_millis() as u32,
+      service: service.clone(),
+    });
+    led.collect()
+  }
+
+  /// A peer says which services addresses led to.
+  pub fn remember(&mut self, now: Instant, led: &[Led]) {
+    for led in led {
+      let at = now.checked_sub(Duration::from_millis(led.age_ms.into()));
+      let at = at.unwrap_or(now);
+      self.catalog.remember(at, led.address, &led.service);
+    }
+  }
+
   /// A process told of itself.
   pub fn status(&mut self, now: Instant, from: SocketAddrV4, status: &Status) {
     let balancer = status.role == Role::Balancer;
--- a/src/datagram/target.rs
+++ b/src/datagram/target.rs
@@ -6,13 +6,14 @@
     convert::Infallible,
     fmt::{self, Display, Formatter},
     net::SocketAddrV4,
+    num::ParseIntError,
     str::FromStr,
     sync::Arc,
     time::Duration,
   },
 };
 
-/// The platform's name of one run of an upstream.
+/// The platform's name of an upstream; a later run may have it again.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(from = "String", into = "String")]
 pub struct Id(Arc<str>);
@@ -43,12 +44,36 @@
   }
 }
 
+/// When an upstream started, in milliseconds of Unix time by its own clock: a count that is higher at
+/// each start under one name.
+#[derive(
+  Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Born(pub u64);
+
+impl Display for Born {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    self.0.fmt(f)
+  }
+}
+
+impl FromStr for Born {
+  type Err = ParseIntError;
+
+  fn from_str(text: &str) -> Result<Self, ParseIntError> {
+    text.parse().map(Self)
+  }
+}
+
 /// One run of an upstream, as the platform lists it. The list lags behind reality.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Target {
   /// Where the upstream takes packets from its own instance.
   pub address: SocketAddrV4,
+  /// When it started, where the platform says so.
+  pub born: Option<Born>,
   /// The data centre that it stands in.
   pub data_centre: String,
   /// Whether it is live or leaving.
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -3,7 +3,9 @@
 use {
   crate::{
     plain::{Kind, Packet, Plain},
-    support::{Sent, Stepped, configured, flow, listed, news, peer, unlisted, upstream},
+    support::{
+      Sent, Stepped, configured, flow, found, listed, news, peer, unlisted, unsure, upstream,
+    },
   },
   assert_matches::assert_matches,
   fallwell::{
@@ -74,6 +76,7 @@
       complete,
       past: vec![],
     },
+    lost: false,
   }
 }
 
@@ -198,7 +201,7 @@
   let frame = Frame::Ask {
     complete: KNOWN,
     flows: flows.collect(),
-    service: service.digest(),
+    services: vec![service.digest()],
   };
   agent.frame(BALANCER, &frame, &[])
 }
@@ -214,8 +217,9 @@
       complete: KNOWN,
       past: vec![],
     },
+    lost: false,
   };
-  let expected = [Frame::Found(here), absent];
+  let expected = [found(here), absent];
   assert_eq!(
     sent,
     expected.map(|frame| Sent::Frame(peer(1), frame, vec![]))
@@ -229,7 +233,7 @@
   deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
   agent.packet(answer(flow, 100));
   let sent = ask(&mut agent, &[flow], 101, "a");
-  assert!(is_told(&sent, &Frame::Found(flow)), "{sent:?}");
+  assert!(is_told(&sent, &found(flow)), "{sent:?}");
   let sent = ask(&mut agent, &[flow], 777, "a");
   assert!(is_told(&sent, &absent(flow, NOTHING)), "{sent:?}");
 }
@@ -239,7 +243,7 @@
   let ask = Frame::Ask {
     complete: Revision(asker),
     flows: vec![(flow(40_009, 1), 6)],
-    service: "a".parse::<Service>().expect("a name").digest(),
+    services: vec!["a".parse::<Service>().expect("a name").digest()],
   };
   let sent = agent.frame(BALANCER, &ask, &[]);
   let known = sent.into_iter().find_map(|sent| match sent {
@@ -281,7 +285,7 @@
   let mut agent = Stepped::agent(9, "a", false);
   let flow = flow(40_001, 1);
   let sent = ask(&mut agent, &[flow], 6, "a");
-  assert!(is_told(&sent, &Frame::Unsure(vec![flow])), "{sent:?}");
+  assert!(is_told(&sent, &unsure(flow)), "{sent:?}");
   // While it tries one, it says nothing; then what it has found.
   deliver(&mut agent, Purpose::Test, Packet::data(flow, 5, 6));
   assert_eq!(ask(&mut agent, &[flow], 6, "a"), []);
@@ -303,7 +307,7 @@
   let flow = flow(40_001, 1);
   deliver(&mut agent, Purpose::Test, Packet::data(flow, 5, 6));
   let sent = agent.pass(Duration::from_millis(100));
-  assert!(is_told(&sent, &Frame::Found(flow)), "{sent:?}");
+  assert!(is_told(&sent, &found(flow)), "{sent:?}");
 }
 
 #[test]
@@ -313,7 +317,15 @@
   deliver(&mut agent, Purpose::Deliver, packet);
   let sent = agent.packet(returned(packet));
   let back = packet.write();
-  assert_eq!(sent, [Sent::Frame(peer(1), absent(flow, KNOWN), back)]);
+  let lost = Frame::Absent {
+    flows: vec![flow],
+    known: Known {
+      complete: KNOWN,
+      past: vec![],
+    },
+    lost: true,
+  };
+  assert_eq!(sent, [Sent::Frame(peer(1), lost, back)]);
 }
 
 #[test]
@@ -413,7 +425,7 @@
   assert_eq!(sent, [Sent::Upstream(packet)]);
   let other = crate::support::flow(40_002, 1);
   let sent = ask(&mut next, &[other], 6, "a");
-  assert!(is_told(&sent, &Frame::Unsure(vec![other])), "{sent:?}");
+  assert!(is_told(&sent, &unsure(other)), "{sent:?}");
 }
 
 #[test]
@@ -445,7 +457,7 @@
   let mut next = restarted(&mut before);
   let packet = Packet::data(flow, 3, 101);
   let sent = deliver(&mut next, Purpose::Test, packet);
-  assert!(is_told(&sent, &Frame::Found(flow)), "{sent:?}");
+  assert!(is_told(&sent, &found(flow)), "{sent:?}");
   // It knows all: another flow is told absent without a test.
   let other = crate::support::flow(40_002, 1);
   let sent = deliver(&mut next, Purpose::Test, Packet::data(other, 5, 6));
@@ -458,7 +470,7 @@
   let ask = Frame::Ask {
     complete: KNOWN,
     flows: vec![],
-    service: "a".parse::<Service>().expect("a name").digest(),
+    services: vec!["a".parse::<Service>().expect("a name").digest()],
   };
   assert_eq!(agent.statuses(BALANCER, &ask), 1);
   assert_eq!(agent.statuses(BALANCER, &ask), 0);
@@ -618,12 +630,12 @@
   agent.packet(answer(flow, 100));
   // Its caller has acknowledged another answer, of this upstream or of another one.
   let sent = ask(&mut agent, &[flow], 501, "a");
-  assert!(is_told(&sent, &Frame::Unsure(vec![flow])), "{sent:?}");
+  assert!(is_told(&sent, &unsure(flow)), "{sent:?}");
   let packet = Packet::data(flow, 2, 501);
   let sent = deliver(&mut agent, Purpose::Test, packet);
   assert_eq!(sent, [Sent::Upstream(packet)]);
   let sent = agent.pass(Duration::from_millis(31));
-  assert!(is_told(&sent, &Frame::Found(flow)), "{sent:?}");
+  assert!(is_told(&sent, &found(flow)), "{sent:?}");
 }
 
 #[test]
--- a/tests/datagram/balancing.rs
+++ b/tests/datagram/balancing.rs
@@ -97,6 +97,7 @@
       complete: Revision(complete),
       past: vec![],
     },
+    lost: false,
   }
 }
 
--- a/tests/datagram/bundle.rs
+++ b/tests/datagram/bundle.rs
@@ -1,7 +1,7 @@
 //! Frames that leave together are one datagram, and arrive as what they were.
 
 use {
-  crate::support::{flow, peer},
+  crate::support::{self, flow, peer},
   fallwell::{
     Code,
     datagram::{
@@ -23,7 +23,7 @@
 fn found(datagram: &[u8]) -> Vec<Flow> {
   let frames = bundle::frames(datagram).expect("frames");
   let flows = frames.iter().map(|frame| match Frame::decode(frame) {
-    Ok((Frame::Found(flow), _)) => flow,
+    Ok((Frame::Found { flow, .. }, _)) => flow,
     other => panic!("{other:?}"),
   });
   flows.collect()
@@ -33,7 +33,7 @@
 fn frames_to_one_process_leave_as_one_datagram_in_order() {
   let mut out = Outbox::default();
   for port in 1..=6 {
-    out.frame(peer(port % 2), &Frame::Found(flow(port.into(), 1)), &[]);
+    out.frame(peer(port % 2), &support::found(flow(port.into(), 1)), &[]);
   }
   let sent = sent(&out);
   let read = sent.iter().map(|(to, bytes)| (*to, found(bytes)));
@@ -48,7 +48,7 @@
 fn a_bundle_fits_a_datagram() {
   let mut out = Outbox::default();
   for port in 1..=500 {
-    out.frame(peer(1), &Frame::Found(flow(port, 1)), &[7; 30]);
+    out.frame(peer(1), &support::found(flow(port, 1)), &[7; 30]);
   }
   let sent = sent(&out);
   assert!(sent.iter().all(|(_, bytes)| bytes.len() <= 1200));
@@ -59,7 +59,7 @@
 #[test]
 fn a_frame_alone_stays_as_it_is() {
   let mut out = Outbox::default();
-  out.frame(peer(1), &Frame::Found(flow(1, 1)), &[7; 3000]);
+  out.frame(peer(1), &support::found(flow(1, 1)), &[7; 3000]);
   let expected = out.bytes(&out.datagrams()[0]).to_vec();
   assert_eq!(sent(&out), [(peer(1), expected)]);
 }
@@ -68,7 +68,7 @@
 fn a_cut_bundle_is_refused() {
   let mut out = Outbox::default();
   for port in 1..=3 {
-    out.frame(peer(1), &Frame::Found(flow(port, 1)), &[]);
+    out.frame(peer(1), &support::found(flow(port, 1)), &[]);
   }
   let (_, whole) = &sent(&out)[0];
   for length in 1..whole.len() {
--- a/tests/datagram/frame.rs
+++ b/tests/datagram/frame.rs
@@ -1,10 +1,10 @@
 //! Frames: what is written is read again, and anything else is refused by number.
 
 use {
-  crate::support::{configured, flow, news},
+  crate::support::{configured, flow, found, news},
   fallwell::{
     Code, Revision,
-    datagram::{Frame, Version, frame::Purpose},
+    datagram::{Frame, Version, frame::Purpose, service::Digest},
   },
   proptest::prelude::*,
 };
@@ -14,7 +14,7 @@
   let frame = Frame::Carry {
     complete: Revision(4),
     purpose: Purpose::Test,
-    service: 77,
+    service: Digest(77),
     version: Version(3),
   };
   let mut bytes = Vec::new();
@@ -36,7 +36,7 @@
 #[test]
 fn another_version_is_refused() {
   let mut bytes = Vec::new();
-  Frame::Found(flow(1, 1)).encode(&mut bytes);
+  found(flow(1, 1)).encode(&mut bytes);
   bytes[0] ^= 1;
   assert_eq!(Frame::decode(&bytes), Err(Code::FrameVersionUnknown));
 }
--- a/tests/datagram/link.rs
+++ b/tests/datagram/link.rs
@@ -4,7 +4,7 @@
   crate::{
     balancing::{Balancer, balancer_with, carried},
     plain::Packet,
-    support::{Sent, flow},
+    support::{Sent, flow, found},
   },
   fallwell::datagram::{Event, Frame, Rate, frame::Purpose},
   std::time::Duration,
@@ -68,7 +68,7 @@
 fn with_flows(link: Option<Rate>, flows: u16) -> Balancer {
   let mut balancer = balancer_with(link);
   for port in 1..=flows {
-    balancer.frame(11, &Frame::Found(flow(port, 1)), &[]);
+    balancer.frame(11, &found(flow(port, 1)), &[]);
   }
   balancer
 }
@@ -174,7 +174,7 @@
     send(&mut balancer, upload(1, number));
   }
   pass(&mut balancer, &mut link, STEP);
-  link.take(&balancer.frame(11, &Frame::Found(flow(1, 1)), &[]));
+  link.take(&balancer.frame(11, &found(flow(1, 1)), &[]));
   pass(&mut balancer, &mut link, Duration::from_millis(400));
   assert_eq!((link.lost, link.arrived.len()), (0, WINDOW as usize));
 }
--- a/tests/datagram/random_run.rs
+++ b/tests/datagram/random_run.rs
@@ -351,6 +351,48 @@
   }
 }
 
+/// One more fault, or another set of services behind the first route.
+fn disturb_weights(world: &mut World) {
+  let first = match world.rng.random_range(0..8) {
+    0 => vec![("a", 90), ("b", 10)],
+    1 => vec![("a", 1), ("b", 1)],
+    2 => vec![("a", 0), ("b", 1)],
+    3 => vec![("a", 1), ("b", 0)],
+    4 => vec![("a", 1)],
+    5 => vec![("b", 1)],
+    _ => return disturb(world),
+  };
+  world.weigh(&[(1, first), (2, vec![("b", 1)])]);
+}
+
+/// A route whose services and weights change under faults.
+fn play_weights(seed: u64) {
+  let mut world = world(seed);
+  world.weigh(&[(1, vec![("a", 90), ("b", 10)]), (2, vec![("b", 1)])]);
+  for _ in 0..40 {
+    for _ in 0..4 {
+      let route = world.rng.random_range(1..3);
+      let requests = world.rng.random_range(1..12);
+      world.call(route, requests);
+    }
+    let ms = world.rng.random_range(10..400);
+    world.run(ms);
+    if world.rng.random_bool(0.4) {
+      disturb_weights(&mut world);
+    }
+  }
+  mend(&mut world);
+  assert!(world.is_level(), "seed {seed}: a process is behind");
+  is_well(&mut world, seed);
+}
+
+#[test]
+fn flows_stay_at_the_service_that_took_them_while_weights_change() {
+  for seed in 0..96 {
+    play_weights(seed);
+  }
+}
+
 /// Demand beyond what targets can take, and then all machines without power, often with the store
 /// away; frames are lost, and come twice and late, those of a former run too.
 fn play_power(seed: u64) {
@@ -411,5 +453,6 @@
     play_in(bootstrapped(seed), seed);
     play_power(seed);
     play_zones(seed);
+    play_weights(seed);
   }
 }
--- a/tests/datagram/remembering.rs
+++ b/tests/datagram/remembering.rs
@@ -4,7 +4,7 @@
   crate::{
     balancing::{Balancer, absent, asked, balancer, carried, is_reset, search, tell},
     plain::Packet,
-    support::{Sent, flow, news, peer, unlisted, upstream},
+    support::{Sent, flow, found, news, peer, unlisted, upstream},
   },
   assert_matches::assert_matches,
   fallwell::{
@@ -52,6 +52,7 @@
   assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
   let past = Frame::Past {
     known: true,
+    led: vec![],
     part: 0,
     parts: 1,
     past: vec![gone(13)],
@@ -74,6 +75,7 @@
   told(&mut balancer, 3);
   let nothing = Frame::Past {
     known: false,
+    led: vec![],
     part: 0,
     parts: 1,
     past: vec![],
@@ -94,7 +96,7 @@
   let sent = balancer.frame(2, &Frame::AskPast, &[]);
   assert_matches!(
     &sent[..],
-    [Sent::Frame(to, Frame::Past { known: false, part: 0, parts: 1, past }, _)]
+    [Sent::Frame(to, Frame::Past { known: false, part: 0, parts: 1, past, .. }, _)]
       if *to == peer(2) && past[0].address == upstream(12)
   );
 }
@@ -109,6 +111,7 @@
       complete: Revision(4),
       past: vec![(crate::support::upstream(13), 100)],
     },
+    lost: false,
   };
   balancer.frame(11, &absent, &[]);
   let sent = balancer.frame(12, &absent, &[]);
@@ -128,7 +131,7 @@
   balancer.frame(11, &absent(4), &[]);
   let sent = balancer.frame(12, &absent(4), &[]);
   assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
-  balancer.frame(13, &Frame::Found(flow(1, 1)), &[]);
+  balancer.frame(13, &found(flow(1, 1)), &[]);
   let sent = balancer.packet(Packet::data(flow(1, 1), 2, 100));
   assert_eq!(carried(&sent), [(13, Purpose::Deliver)]);
 }
--- a/tests/datagram/restarting.rs
+++ b/tests/datagram/restarting.rs
@@ -4,7 +4,7 @@
   crate::{
     balancing::{Balancer, balancer, carried, tell},
     plain::Packet,
-    support::{Sent, flow, peer},
+    support::{Sent, flow, found, peer},
   },
   assert_matches::assert_matches,
   fallwell::datagram::{Frame, Load, frame::Purpose, handover::Passed},
@@ -14,7 +14,7 @@
 #[test]
 fn an_agent_that_has_started_again_hears_its_flows() {
   let mut balancer = balancer();
-  balancer.frame(11, &Frame::Found(flow(1, 1)), &[]);
+  balancer.frame(11, &found(flow(1, 1)), &[]);
   let sent = tell(&mut balancer, 11, 2, Load::default());
   assert_matches!(
     &sent[..],
@@ -70,7 +70,7 @@
 /// A balancer with a flow at the agent on host 11, which has just said its last word.
 fn with_stopped_agent() -> Balancer {
   let mut balancer = balancer();
-  balancer.frame(11, &Frame::Found(flow(1, 1)), &[]);
+  balancer.frame(11, &found(flow(1, 1)), &[]);
   let frame = Frame::Handover {
     flows: vec![passed(1)],
     part: 0,
--- a/tests/datagram/searching.rs
+++ b/tests/datagram/searching.rs
@@ -4,7 +4,9 @@
   crate::{
     balancing::{Balancer, absent, asked, balancer, carried, is_reset, search, tell},
     plain::Packet,
-    support::{Sent, Stepped, configured, elsewhere, flow, listed, news, peer, unlisted},
+    support::{
+      Sent, Stepped, configured, elsewhere, flow, found, listed, news, peer, unlisted, unsure,
+    },
   },
   assert_matches::assert_matches,
   fallwell::{
@@ -21,7 +23,7 @@
   assert_eq!(search(&mut balancer), [11, 12]);
   // What came meanwhile waits for the answer.
   balancer.packet(Packet::data(flow(1, 1), 3, 100));
-  let sent = balancer.frame(12, &Frame::Found(flow(1, 1)), &[]);
+  let sent = balancer.frame(12, &found(flow(1, 1)), &[]);
   assert_eq!(carried(&sent), [(12, Purpose::Deliver); 2]);
   let sent = balancer.packet(Packet::data(flow(1, 1), 4, 100));
   assert_eq!(carried(&sent), [(12, Purpose::Deliver)]);
@@ -69,7 +71,7 @@
   };
   balancer.packet(large);
   balancer.packet(small);
-  let unsure = Frame::Unsure(vec![flow(1, 1)]);
+  let unsure = unsure(flow(1, 1));
   let sent = balancer.frame(11, &unsure, &[]);
   assert_matches!(
     &sent[..],
@@ -79,7 +81,7 @@
   // It is not given another one while it tries.
   assert_eq!(balancer.frame(11, &unsure, &[]), []);
   // It has the flow, and that packet: only the other one is delivered.
-  let sent = balancer.frame(11, &Frame::Found(flow(1, 1)), &[]);
+  let sent = balancer.frame(11, &found(flow(1, 1)), &[]);
   assert_matches!(
     &sent[..],
     [Sent::Frame(_, Frame::Carry { purpose: Purpose::Deliver, .. }, packet)]
@@ -118,7 +120,7 @@
 #[test]
 fn one_packet_is_tried_while_an_agent_is_silent_that_may_have_the_flow() {
   let mut balancer = searching_five();
-  let unsure = Frame::Unsure(vec![flow(1, 1)]);
+  let unsure = unsure(flow(1, 1));
   let mut all = Vec::new();
   for host in [11, 12, 13] {
     all.extend(tried(&balancer.frame(host, &unsure, &[])));
@@ -138,7 +140,7 @@
 #[test]
 fn all_that_cannot_say_try_once_nobody_is_silent() {
   let mut balancer = searching_five();
-  let unsure = Frame::Unsure(vec![flow(1, 1)]);
+  let unsure = unsure(flow(1, 1));
   assert_eq!(tried(&balancer.frame(11, &unsure, &[])), [11]);
   assert!(tried(&balancer.frame(12, &unsure, &[])).is_empty());
   assert!(tried(&balancer.frame(13, &unsure, &[])).is_empty());
@@ -243,7 +245,7 @@
 #[test]
 fn a_packet_that_came_back_is_searched_for_elsewhere() {
   let mut balancer = balancer();
-  balancer.frame(11, &Frame::Found(flow(1, 1)), &[]);
+  balancer.frame(11, &found(flow(1, 1)), &[]);
   let packet = Packet::data(flow(1, 1), 2, 100);
   balancer.packet(packet);
   balancer.frame(11, &absent(4), &packet.write());
@@ -289,7 +291,7 @@
     assert_eq!(balancer.packet(Packet::data(flow(1, 1), 2, 100)), []);
   }
   assert_eq!(asked(&balancer.pass(Duration::ZERO)), [11, 12]);
-  let sent = balancer.frame(12, &Frame::Found(flow(1, 1)), &[]);
+  let sent = balancer.frame(12, &found(flow(1, 1)), &[]);
   assert_eq!(carried(&sent), [(12, Purpose::Deliver); 16]);
 }
 
@@ -307,7 +309,7 @@
   balancer.pass(Duration::ZERO);
   let mut delivered = 0;
   for port in 20_000..20_000 + flows {
-    let sent = balancer.frame(12, &Frame::Found(flow(port, 1)), &[]);
+    let sent = balancer.frame(12, &found(flow(port, 1)), &[]);
     delivered += carried(&sent).len() * packet.len();
   }
   assert!(delivered > 4_000_000, "delivered {delivered}");
--- a/tests/datagram/support.rs
+++ b/tests/datagram/support.rs
@@ -5,9 +5,9 @@
     config::Presence,
     counter::Counter,
     datagram::{
-      Configuration, Event, Flow, Frame, Machine, News, Origin, Outbox, Rate, Record, Route,
-      Service, Settings, Target, Tuning, Upstream, Version, Via, Warmup, agent, balancer,
-      frame::Purpose,
+      Backend, Backends, Configuration, Event, Flow, Frame, Machine, News, Origin, Outbox, Rate,
+      Record, Route, Service, Settings, Target, Tuning, Upstream, Version, Via, Warmup, Weight,
+      agent, balancer, frame::Purpose, service::Digest,
     },
   },
   std::{
@@ -61,22 +61,51 @@
 
 /// A configuration whose routes lead to services, by their numbers and names.
 pub fn configuration(version: u64, routes: &[(u8, &str)]) -> Configuration {
-  let route_to = |service: &str| Route {
-    objective: Duration::from_millis(200),
-    priority: 1,
-    service: service.parse().expect("a name"),
-  };
+  let shares = routes.iter();
+  let shares = shares.map(|(number, service)| (*number, vec![(*service, 1)]));
+  weighted(version, &shares.collect::<Vec<_>>())
+}
+
+/// A configuration whose routes lead to services by weight.
+pub fn weighted(version: u64, routes: &[(u8, Vec<(&str, u32)>)]) -> Configuration {
   let routes = routes.iter();
+  let routes = routes.map(|(number, shares)| {
+    let route_to = Route {
+      backends: backends(shares),
+      objective: Duration::from_millis(200),
+      priority: 1,
+    };
+    (route(*number), route_to)
+  });
   Configuration {
     idle: Duration::from_secs(30),
-    routes: routes
-      .map(|(number, service)| (route(*number), route_to(service)))
-      .collect::<BTreeMap<_, _>>(),
+    routes: routes.collect(),
     version: Version(version),
     warmups: BTreeMap::new(),
   }
 }
 
+/// Services by weight.
+pub fn backends(shares: &[(&str, u32)]) -> Backends {
+  let backends = shares.iter().map(|(service, weight)| Backend {
+    service: service.parse().expect("a name"),
+    weight: Weight(*weight),
+  });
+  Backends::from(backends.collect::<Vec<_>>())
+}
+
+/// The record of a configuration whose routes lead to services by weight.
+pub fn configured_weighted(
+  revision: u64,
+  version: u64,
+  routes: &[(u8, Vec<(&str, u32)>)],
+) -> Record {
+  Record::Configuration {
+    configuration: weighted(version, routes),
+    revision: Revision(revision),
+  }
+}
+
 /// The record of a configuration.
 pub fn configured(revision: u64, version: u64, routes: &[(u8, &str)]) -> Record {
   Record::Configuration {
@@ -122,6 +151,7 @@
     revision: Revision(revision),
     target: Some(Target {
       address: upstream(host),
+      born: None,
       data_centre: "default".into(),
       presence,
       service: service.parse().expect("a name"),
@@ -199,10 +229,26 @@
 }
 
 /// The digest of a service's name.
-pub fn digest(service: &str) -> u64 {
+pub fn digest(service: &str) -> Digest {
   service.parse::<Service>().expect("a name").digest()
 }
 
+/// The word of an agent of service `a` that it has a flow.
+pub fn found(flow: Flow) -> Frame {
+  Frame::Found {
+    flow,
+    service: digest("a"),
+  }
+}
+
+/// The word of an agent of service `a` that it cannot say whether it has a flow.
+pub fn unsure(flow: Flow) -> Frame {
+  Frame::Unsure {
+    flows: vec![flow],
+    service: digest("a"),
+  }
+}
+
 /// What comes with a caller's packet to an agent of service `a`, from a balancer that knows the list up
 /// to revision 2.
 pub fn carry(purpose: Purpose) -> Frame {
--- /dev/null
+++ b/tests/datagram/weights.rs
@@ -0,0 +1,387 @@
+//! Routes that lead to several services by weight: where new flows go, and that a flow is found at the
+//! service that took it, whatever its address leads to by now.
+
+use {
+  crate::{
+    balancing::{Balancer, absent, asked, balancer, carried, is_reset, search, tell},
+    plain::Packet,
+    support::{
+      Sent, agent, backends, carry, configured, configured_weighted, flow, news, peer, unlisted,
+      upstream,
+    },
+  },
+  assert_matches::assert_matches,
+  fallwell::{
+    Revision,
+    datagram::{
+      Backends, Flow, Frame, Load, Record, Service,
+      frame::{Led, Purpose, Refusal, Role, Status},
+    },
+  },
+  std::{collections::BTreeMap, net::SocketAddrV4, time::Duration},
+};
+
+/// As many flows as the bounds of these tests are reckoned for.
+const FLOWS: u32 = 100_000;
+
+fn flows() -> impl Iterator<Item = Flow> {
+  (0..FLOWS).map(|number| Flow {
+    caller: SocketAddrV4::new((number >> 8).into(), 1024 + (number & 0xff) as u16),
+    route: crate::support::route(1),
+  })
+}
+
+fn owner(backends: &Backends, flow: &Flow) -> Service {
+  backends.ranked(flow)[0].service.clone()
+}
+
+fn owners(backends: &Backends) -> BTreeMap<String, u32> {
+  let mut owners = BTreeMap::new();
+  for flow in flows() {
+    *owners
+      .entry(String::from(owner(backends, &flow)))
+      .or_default() += 1;
+  }
+  owners
+}
+
+/// Five standard deviations of how many of the flows a share of them takes.
+fn bound(share: f64) -> f64 {
+  5.0 * (f64::from(FLOWS) * share * (1.0 - share)).sqrt()
+}
+
+#[test]
+fn new_flows_are_shared_by_weight() {
+  for shares in [
+    vec![("a", 90), ("b", 10)],
+    vec![("a", 1), ("b", 1), ("c", 2)],
+    vec![("a", 999), ("b", 1)],
+  ] {
+    let owners = owners(&backends(&shares));
+    let all = shares.iter().map(|(_, weight)| f64::from(*weight));
+    let all = all.sum::<f64>();
+    for (service, weight) in shares {
+      let share = f64::from(weight) / all;
+      let count = f64::from(owners.get(service).copied().unwrap_or_default());
+      let off = (count - share * f64::from(FLOWS)).abs();
+      assert!(off < bound(share), "{service}: {owners:?}");
+    }
+  }
+}
+
+#[test]
+fn a_change_of_weights_moves_no_more_flows_than_it_has_to() {
+  let before = backends(&[("a", 90), ("b", 10)]);
+  let after = backends(&[("a", 80), ("b", 20)]);
+  let b = "b".parse::<Service>().expect("a name");
+  let moved = flows().filter(|flow| owner(&before, flow) != owner(&after, flow));
+  let moved = moved.collect::<Vec<_>>();
+  assert!(moved.iter().all(|flow| owner(&after, flow) == b));
+  let off = (moved.len() as f64 - 0.1 * f64::from(FLOWS)).abs();
+  assert!(off < bound(0.1), "{}", moved.len());
+}
+
+#[test]
+fn a_service_that_joins_takes_flows_and_the_others_exchange_none() {
+  let before = backends(&[("a", 3), ("b", 1)]);
+  let after = backends(&[("a", 3), ("b", 1), ("c", 1)]);
+  let c = "c".parse::<Service>().expect("a name");
+  let mut moved = flows().filter(|flow| owner(&before, flow) != owner(&after, flow));
+  assert!(moved.all(|flow| owner(&after, &flow) == c));
+}
+
+#[test]
+fn a_service_of_weight_zero_takes_none() {
+  let owners = owners(&backends(&[("a", 0), ("b", 7)]));
+  assert_eq!(
+    owners.into_iter().collect::<Vec<_>>(),
+    [("b".into(), FLOWS)]
+  );
+}
+
+/// Route 1 leads to both services by these weights, as of a revision and version.
+fn split(revision: u64, version: u64, a: u32, b: u32) -> Record {
+  let both = vec![("a", a), ("b", b)];
+  configured_weighted(revision, version, &[(1, both), (2, vec![("b", 1)])])
+}
+
+/// A balancer before two targets of service `a` and one of `b`; route 1 leads to both.
+fn splitting(a: u32, b: u32) -> Balancer {
+  let mut balancer = balancer();
+  balancer.platform(news(Some(4), 5, &[split(5, 2, a, b)]));
+  balancer
+}
+
+/// The host that a new flow is placed at.
+fn placed(balancer: &mut Balancer, flow: Flow) -> u8 {
+  let sent = balancer.packet(Packet::open(flow, 0));
+  let carried = carried(&sent);
+  let [(host, Purpose::Open)] = carried[..] else {
+    panic!("{sent:?}");
+  };
+  host
+}
+
+#[test]
+fn balancers_agree_on_the_service_of_a_flow() {
+  let (mut one, mut other) = (splitting(2, 1), splitting(2, 1));
+  // One of them has other flows, whose targets are not free.
+  for port in 5000..5004 {
+    other.packet(Packet::open(flow(port, 1), 0));
+  }
+  let at_b = |host: u8| host == 21;
+  for port in 1..60 {
+    let flow = flow(port, 1);
+    for host in [11, 12, 21] {
+      tell(&mut one, host, 1, Load::default());
+      tell(&mut other, host, 1, Load::default());
+    }
+    let hosts = (placed(&mut one, flow), placed(&mut other, flow));
+    assert_eq!(at_b(hosts.0), at_b(hosts.1), "{hosts:?}");
+  }
+}
+
+#[test]
+fn flows_of_a_service_without_targets_go_to_the_others_of_the_set() {
+  let mut balancer = splitting(1, 99);
+  balancer.platform(news(Some(5), 6, &[unlisted(6, "up-21")]));
+  balancer.pass(Duration::from_secs(3));
+  for host in [11, 12] {
+    tell(&mut balancer, host, 1, Load::default());
+  }
+  for port in 1..20 {
+    assert_ne!(placed(&mut balancer, flow(port, 1)), 21);
+  }
+}
+
+#[test]
+fn the_caller_is_told_at_once_where_no_service_takes_new_flows() {
+  let mut balancer = splitting(0, 0);
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  assert!(is_reset(&sent, flow(1, 1), 0), "{sent:?}");
+}
+
+#[test]
+fn a_flow_goes_on_at_its_service_when_the_weights_change() {
+  let mut balancer = splitting(0, 1);
+  assert_eq!(placed(&mut balancer, flow(1, 1)), 21);
+  balancer.frame(21, &Frame::Opened(flow(1, 1), Load::default()), &[]);
+  balancer.platform(news(Some(5), 6, &[split(6, 3, 1, 0)]));
+  let sent = balancer.packet(Packet::data(flow(1, 1), 2, 100));
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(to, Frame::Carry { purpose: Purpose::Deliver, service, .. }, _)]
+      if *to == peer(21) && *service == crate::support::digest("b")
+  );
+}
+
+#[test]
+fn a_new_flow_goes_where_the_newest_configuration_leads_though_one_of_its_name_was_open() {
+  let mut balancer = splitting(0, 1);
+  assert_eq!(placed(&mut balancer, flow(1, 1)), 21);
+  balancer.frame(21, &Frame::Opened(flow(1, 1), Load::default()), &[]);
+  balancer.platform(news(Some(5), 6, &[split(6, 3, 1, 0)]));
+  assert_ne!(placed(&mut balancer, flow(1, 1)), 21);
+}
+
+/// A balancer that never saw `flow(1, 1)` finds it at the target of service `b`.
+fn finds_at_b(balancer: &mut Balancer) {
+  let mut all = search(balancer);
+  all.extend(asked(&balancer.pass(Duration::from_millis(50))));
+  assert!(all.contains(&21), "{all:?}");
+  for host in [11, 12] {
+    let sent = balancer.frame(host, &absent(4), &[]);
+    assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+  }
+  let here = Frame::Found {
+    flow: flow(1, 1),
+    service: crate::support::digest("b"),
+  };
+  let sent = balancer.frame(21, &here, &[]);
+  assert_eq!(carried(&sent), [(21, Purpose::Deliver)]);
+}
+
+#[test]
+fn a_flow_is_found_at_each_service_of_the_set() {
+  finds_at_b(&mut splitting(90, 10));
+}
+
+#[test]
+fn a_flow_is_found_at_a_service_whose_weight_is_zero_by_now() {
+  let mut balancer = splitting(90, 10);
+  balancer.platform(news(Some(5), 6, &[split(6, 3, 1, 0)]));
+  finds_at_b(&mut balancer);
+}
+
+#[test]
+fn a_flow_is_found_at_a_service_that_its_route_no_longer_names() {
+  let mut balancer = splitting(90, 10);
+  let routes = [(1, "a"), (2, "b")];
+  balancer.platform(news(Some(5), 6, &[configured(6, 3, &routes)]));
+  finds_at_b(&mut balancer);
+}
+
+#[test]
+fn a_flow_is_found_after_its_route_was_dropped_and_added_again() {
+  let mut balancer = splitting(90, 10);
+  balancer.platform(news(Some(5), 6, &[configured(6, 3, &[(2, "b")])]));
+  let routes = [(1, "a"), (2, "b")];
+  balancer.platform(news(Some(6), 7, &[configured(7, 4, &routes)]));
+  finds_at_b(&mut balancer);
+}
+
+#[test]
+fn a_flow_is_found_after_its_route_led_to_one_service_another_and_a_set() {
+  let mut balancer = splitting(0, 1);
+  let routes = [(1, "a"), (2, "b")];
+  balancer.platform(news(Some(5), 6, &[configured(6, 3, &routes)]));
+  let third = [(1, vec![("a", 1), ("c", 1)]), (2, vec![("b", 1)])];
+  balancer.platform(news(Some(6), 7, &[configured_weighted(7, 4, &third)]));
+  finds_at_b(&mut balancer);
+}
+
+#[test]
+fn a_service_that_was_left_longer_ago_than_flows_live_is_not_asked() {
+  let mut balancer = splitting(90, 10);
+  let routes = [(1, "a"), (2, "b")];
+  balancer.platform(news(Some(5), 6, &[configured(6, 3, &routes)]));
+  balancer.pass(Duration::from_secs(80));
+  for host in [11, 12, 21] {
+    tell(&mut balancer, host, 1, Load::default());
+  }
+  let mut all = search(&mut balancer);
+  all.extend(asked(&balancer.pass(Duration::from_millis(50))));
+  assert!(!all.contains(&21), "{all:?}");
+}
+
+/// A balancer's word of itself.
+fn told(balancer: &mut Balancer, host: u8) {
+  let status = Status {
+    balancers: vec![],
+    complete: Revision(4),
+    confirmed_ms: Some(10),
+    data_centre: 0,
+    incarnation: 1,
+    role: Role::Balancer,
+    stopping: false,
+  };
+  balancer.frame(host, &Frame::Status(status), &[]);
+}
+
+#[test]
+fn a_balancer_that_has_just_started_hears_from_its_peers_where_addresses_led() {
+  let mut balancer = balancer();
+  told(&mut balancer, 2);
+  search(&mut balancer);
+  for host in [11, 12] {
+    let sent = balancer.frame(host, &absent(4), &[]);
+    assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+  }
+  let past = Frame::Past {
+    known: true,
+    led: vec![Led {
+      address: crate::support::route(1),
+      age_ms: 500,
+      service: "b".parse().expect("a name"),
+    }],
+    part: 0,
+    parts: 1,
+    past: vec![],
+  };
+  let sent = balancer.frame(2, &past, &[]);
+  assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+  let mut again = Vec::new();
+  for _ in 0..4 {
+    again.extend(asked(&balancer.pass(Duration::from_millis(50))));
+  }
+  assert!(again.contains(&21), "{again:?}");
+  let sent = balancer.frame(21, &absent(4), &[]);
+  assert!(is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+}
+
+#[test]
+fn a_balancer_tells_where_addresses_led() {
+  let mut balancer = splitting(90, 10);
+  let routes = [(1, "a"), (2, "b")];
+  balancer.platform(news(Some(5), 6, &[configured(6, 3, &routes)]));
+  let sent = balancer.frame(2, &Frame::AskPast, &[]);
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(to, Frame::Past { led, .. }, _)]
+      if *to == peer(2) && led.len() == 1 && led[0].address == crate::support::route(1)
+  );
+}
+
+#[test]
+fn targets_that_an_agent_names_are_of_its_own_service() {
+  let mut balancer = splitting(90, 10);
+  search(&mut balancer);
+  let known = fallwell::datagram::frame::Known {
+    complete: Revision(4),
+    past: vec![(upstream(22), 100)],
+  };
+  let absent = Frame::Absent {
+    flows: vec![flow(1, 1)],
+    known,
+    lost: false,
+  };
+  balancer.frame(21, &absent, &[]);
+  balancer.platform(news(Some(5), 6, &[split(6, 3, 1, 0)]));
+  // The past of service `b` is not asked for flows of a route to `a` alone.
+  let routes = [(1, "b"), (3, "a")];
+  balancer.platform(news(Some(6), 7, &[configured(7, 4, &routes)]));
+  balancer.packet(Packet::data(flow(1, 3), 2, 100));
+  let mut asked = Vec::new();
+  for _ in 0..3 {
+    for sent in balancer.pass(Duration::from_millis(50)) {
+      if let Sent::Frame(to, Frame::Ask { flows, .. }, _) = sent
+        && flows.iter().any(|(asked, _)| *asked == flow(1, 3))
+      {
+        asked.push(to.ip().octets()[3]);
+      }
+    }
+  }
+  assert!(!asked.contains(&22), "{asked:?}");
+}
+
+#[test]
+fn an_agent_takes_no_new_flow_that_the_newest_configuration_leads_elsewhere() {
+  let mut agent = agent();
+  agent.platform(news(Some(2), 3, &[split(3, 2, 0, 1)]));
+  let packet = Packet::open(flow(1, 1), 0);
+  // The sender acts on an older version.
+  let sent = agent.frame(1, &carry(Purpose::Open), &packet.write());
+  assert!(!sent.contains(&Sent::Upstream(packet)), "{sent:?}");
+}
+
+#[test]
+fn an_agent_of_another_service_than_those_that_may_have_the_flows_says_no() {
+  let mut agent = agent();
+  let ask = Frame::Ask {
+    complete: Revision(2),
+    flows: vec![(flow(1, 1), 100)],
+    services: vec![crate::support::digest("b"), crate::support::digest("c")],
+  };
+  let sent = agent.frame(1, &ask, &[]);
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(_, Frame::Absent { lost: false, .. }, _)]
+  );
+}
+
+#[test]
+fn a_refused_flow_stays_with_its_service() {
+  let mut balancer = splitting(1, 0);
+  let first = placed(&mut balancer, flow(1, 1));
+  let busy = Load {
+    service_ms: 40,
+    work: 4,
+    ..Load::default()
+  };
+  let refused = Frame::Refused(flow(1, 1), Refusal::Busy, busy);
+  let sent = balancer.frame(first, &refused, &[]);
+  assert_eq!(
+    carried(&sent),
+    [(if first == 11 { 12 } else { 11 }, Purpose::Open)]
+  );
+}
--- a/tests/datagram/world.rs
+++ b/tests/datagram/world.rs
@@ -3,7 +3,9 @@
 use {
   crate::{
     plain::{Kind, Packet, Plain},
-    support::{CALLERS, PEERS, configured, listed, peer, settings, unlisted, upstream},
+    support::{
+      CALLERS, PEERS, configured, configured_weighted, listed, peer, settings, unlisted, upstream,
+    },
   },
   fallwell::{
     Revision,
@@ -39,6 +41,20 @@
 /// The tries of a caller for one packet, and the wait between two, in milliseconds.
 const TRIES: (u32, u64) = (12, 200);
 
+/// How long after it is acknowledged a configuration may not be in force, in milliseconds.
+const APPLY: u64 = 3000;
+
+/// Where a route leads.
+#[derive(Default)]
+struct Led {
+  /// To which services it ever led.
+  ever: BTreeSet<&'static str>,
+  routed: bool,
+  /// Since when it leads to those that take its new flows now, in milliseconds.
+  since: u64,
+  taking: BTreeSet<&'static str>,
+}
+
 enum Node {
   Agent(Box<agent::Machine<Plain>>),
   Balancer(Box<balancer::Machine<Plain>>),
@@ -104,8 +120,8 @@
   revision: u64,
   /// The world's own choices.
   pub rng: SmallRng,
-  /// Which services a route led to, ever, and now.
-  routes: BTreeMap<u8, (BTreeSet<&'static str>, Option<&'static str>)>,
+  /// Where routes lead and led to.
+  routes: BTreeMap<u8, Led>,
   /// How long upstreams take for a request, in milliseconds.
   slow: u64,
   starts: u32,
@@ -289,21 +305,41 @@
 
   /// Puts a configuration into force.
   pub fn configure(&mut self, routes: &[(u8, &'static str)]) {
-    for (_, now) in self.routes.values_mut() {
-      *now = None;
-    }
-    for (route, service) in routes {
-      let (ever, now) = self.routes.entry(*route).or_default();
-      ever.insert(service);
-      *now = Some(service);
-    }
-    self.version += 1 + self.version % 3;
-    let revision = self.raise();
+    let shares = routes.iter();
+    let shares = shares.map(|(route, service)| (*route, vec![(*service, 1)]));
+    let revision = self.lead(&shares.collect::<Vec<_>>());
     let record = configured(revision, self.version, routes);
     let record = self.stated(routes, revision, record);
     self.records.insert("configuration".into(), record);
   }
 
+  /// Puts a configuration into force whose routes lead to services by weight.
+  pub fn weigh(&mut self, routes: &[(u8, Vec<(&'static str, u32)>)]) {
+    let revision = self.lead(routes);
+    let record = configured_weighted(revision, self.version, routes);
+    self.records.insert("configuration".into(), record);
+  }
+
+  /// Notes where routes lead from now on; the revision of the configuration that says so.
+  fn lead(&mut self, routes: &[(u8, Vec<(&'static str, u32)>)]) -> u64 {
+    for led in self.routes.values_mut() {
+      led.routed = false;
+    }
+    for (route, shares) in routes {
+      let led = self.routes.entry(*route).or_default();
+      let taking = shares.iter().filter(|(_, weight)| *weight > 0);
+      let taking = taking.map(|(service, _)| *service).collect();
+      led.ever.extend(&taking);
+      if led.taking != taking {
+        led.since = self.now;
+      }
+      led.taking = taking;
+      led.routed = true;
+    }
+    self.version += 1 + self.version % 3;
+    self.raise()
+  }
+
   /// From now on no more packets than that may come to other targets while none comes to a flow's
   /// own.
   pub fn bound_strays(&mut self, most: u32) {
@@ -605,7 +641,7 @@
           .values()
           .any(|beside| beside.open.contains(&flow));
         let route = flow.route.ip().octets()[3];
-        let dropped = self.routes.get(&route).is_none_or(|(_, now)| now.is_none());
+        let dropped = self.routes.get(&route).is_none_or(|led| !led.routed);
         assert!(!holds || dropped, "an open flow was reset: {flow}");
         self.asked.remove(&flow);
         self.ended.1 += 1;
@@ -657,10 +693,18 @@
       return;
     };
     let route = flow.route.ip().octets()[3];
-    let (ever, _) = &self.routes[&route];
+    let led = &self.routes[&route];
     let service = beside.service;
-    assert!(ever.contains(service), "{flow} came to service {service}");
+    assert!(
+      led.ever.contains(service),
+      "{flow} came to service {service}"
+    );
     assert!(!packet.returned);
+    let old = led.routed && !led.taking.contains(service) && self.now > led.since + APPLY;
+    assert!(
+      packet.kind != Kind::Open || !old || !calm,
+      "{flow} was opened at service {service}, where its route no longer leads"
+    );
     let answer = if packet.kind == Kind::Open {
       let late = beside
         .leaving_since
