Tell a change of a few routes by those few, and let the widest links read

Cause: a configuration was told whole. Ruled out: targets (they were heard of, age 80 to 460 ms), searches (the flows were new), the store (it answered). Change: routes that changed are told as an amendment of what the other knows; the reader is the balancer with the widest link; large answers to peers take half of the link, and who is turned away asks another.

--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -9,6 +9,7 @@
 /// Several frames in one datagram.
 pub mod bundle;
 mod catalog;
+mod changed;
 mod closures;
 mod codec;
 mod configuration;
@@ -51,7 +52,7 @@
   outbox::{Datagram, Outbox, Via},
   patience::Patience,
   rate::{Rate, RateInvalid},
-  record::{News, Record},
+  record::{Amendment, News, Record},
   service::Service,
   settings::{Settings, Tuning, Upstream},
   spread::{Agents, Spread},
--- a/src/datagram/catalog.rs
+++ b/src/datagram/catalog.rs
@@ -1,5 +1,8 @@
 use {
-  super::{Closures, Configuration, Former, News, Record, Route, Service, Target, Warmup, target},
+  super::{
+    Closures, Configuration, Former, News, Record, Route, Service, Target, Warmup,
+    changed::Changed, target,
+  },
   crate::Revision,
   smallvec::SmallVec,
   std::{
@@ -30,6 +33,8 @@
 pub struct Catalog {
   closures: Closures,
   complete: Revision,
+  /// The routes that changed since the first configuration that came here, those that were dropped too.
+  changed: Changed,
   configuration: Option<(Revision, Arc<Configuration>)>,
   former: Former,
   /// What left the list up to this revision may not be known here.
@@ -164,10 +169,8 @@
     let oldest = if whole { Revision::default() } else { after };
     let configuration = self.configuration.iter();
     let configuration = configuration.filter(|(revision, _)| *revision > oldest);
-    let configuration = configuration.map(|(revision, held)| Record::Configuration {
-      configuration: held.as_ref().clone(),
-      revision: *revision,
-    });
+    let configuration =
+      configuration.map(|(revision, held)| self.changed.record(held, oldest, *revision));
     let closures = self.closures.since(oldest);
     let targets = self.targets.iter();
     let targets = targets.filter(|(_, entry)| entry.revision > oldest);
@@ -207,16 +210,19 @@
         configuration,
         revision,
       } => {
-        let newer = self
-          .configuration
-          .as_ref()
-          .is_none_or(|(held, known)| *held < revision && known.version < configuration.version);
-        if newer {
-          if let Some((_, before)) = &self.configuration {
-            self.former.replace(now, before, &configuration);
-          }
-          self.configuration = Some((revision, Arc::new(configuration)));
-          change.configuration = true;
+        change.configuration |= self.configure(now, configuration, revision);
+      }
+      Record::Amendment {
+        amendment,
+        after,
+        revision,
+      } => {
+        let known = self.configuration.as_ref();
+        if let Some((held, before)) = known.filter(|_| after <= self.complete)
+          && *held < revision
+        {
+          let configuration = amendment.amend(before);
+          change.configuration |= self.configure(now, configuration, revision);
         }
       }
       Record::Target {
@@ -227,6 +233,22 @@
     }
   }
 
+  /// Takes a configuration; true where it is newer than the one in force.
+  fn configure(&mut self, now: Instant, configuration: Configuration, revision: Revision) -> bool {
+    match &self.configuration {
+      Some((held, before)) if *held >= revision || before.version >= configuration.version => {
+        return false;
+      }
+      Some((_, before)) => {
+        self.changed.replace(before, &configuration, revision);
+        self.former.replace(now, before, &configuration);
+      }
+      None => self.changed.begin(revision),
+    }
+    self.configuration = Some((revision, Arc::new(configuration)));
+    true
+  }
+
   fn take_target(
     &mut self,
     now: Instant,
@@ -291,7 +313,7 @@
         Record::Closure { data_centre, .. } => {
           listed.closed.insert(data_centre.clone());
         }
-        Record::Configuration { .. } => {}
+        Record::Amendment { .. } | Record::Configuration { .. } => {}
         Record::Target { id, .. } => {
           listed.targets.insert(id.clone());
         }
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -103,6 +103,8 @@
   pub data_centre: u32,
   /// This run of the process.
   pub incarnation: u32,
+  /// The order of magnitude of its link's rate; 0 where that is not known.
+  pub link: u8,
   /// What it is.
   pub role: Role,
   /// Whether it is about to stop.
--- a/src/datagram/node.rs
+++ b/src/datagram/node.rs
@@ -1,6 +1,7 @@
 //! The process around a machine: a thread that carries packets, and one that asks and answers
 //! over HTTP.
 
+mod allowance;
 mod carrier;
 mod control;
 mod resource;
@@ -9,6 +10,7 @@
 mod source;
 
 pub use {
+  allowance::Allowance,
   run::{agent, balancer},
   source::Source,
 };
--- a/src/datagram/node/control.rs
+++ b/src/datagram/node/control.rs
@@ -1,5 +1,6 @@
 use {
   super::{
+    allowance::Allowance,
     resource,
     shared::{Message, Question, Shared},
     source::Source,
@@ -74,9 +75,14 @@
   runtime.block_on(async {
     let reads = read(source.clone(), Arc::clone(shared));
     let asks = ask(questions, Arc::clone(shared));
-    let readiness = serve(settings.readiness, source, shared);
-    let peers = serve(settings.peers, source, shared);
-    let api = serve(settings.api, source, shared);
+    let part = Part {
+      allowance: Arc::new(Allowance::new(settings.link)),
+      shared: Arc::clone(shared),
+      source: source.clone(),
+    };
+    let readiness = serve(settings.readiness, &part);
+    let peers = serve(settings.peers, &part);
+    let api = serve(settings.api, &part);
     let ((), (), readiness, peers, api) = tokio::join!(reads, asks, readiness, peers, api);
     readiness.and(peers).and(api)
   })
@@ -181,36 +187,34 @@
     .map_err(|error| Fault::new(Code::FrameTruncated, format!("{peer}: {error}")))
 }
 
-async fn serve<S: Source>(
-  address: SocketAddrV4,
-  source: &S,
-  shared: &Arc<Shared>,
-) -> Result<(), Fault> {
-  let (source, shared) = (source.clone(), Arc::clone(shared));
-  web::serve(address.into(), move |request| {
-    answer(request, source.clone(), Arc::clone(&shared))
-  })
-  .await
+/// What questions are answered from.
+#[derive(Clone)]
+struct Part<S> {
+  allowance: Arc<Allowance>,
+  shared: Arc<Shared>,
+  source: S,
 }
 
-async fn answer<S: Source>(
-  request: Request<Incoming>,
-  source: S,
-  shared: Arc<Shared>,
-) -> Response<Full<Bytes>> {
+async fn serve<S: Source>(address: SocketAddrV4, part: &Part<S>) -> Result<(), Fault> {
+  let part = part.clone();
+  web::serve(address.into(), move |request| answer(request, part.clone())).await
+}
+
+async fn answer<S: Source>(request: Request<Incoming>, part: Part<S>) -> Response<Full<Bytes>> {
+  let Part { shared, source, .. } = &part;
   let readiness = source.readiness_path();
   if request.method() != Method::GET {
     return web::answer(StatusCode::METHOD_NOT_ALLOWED, "");
   }
   match request.uri().path() {
-    METRICS => web::answer(StatusCode::OK, metrics(&source, &shared)),
+    METRICS => web::answer(StatusCode::OK, metrics(source, shared)),
     SERVICES => web::answer(
       StatusCode::OK,
       resource::services(&shared.catalog()).to_string(),
     ),
-    NEWS => tell_news(request.uri().query(), &shared),
-    STATE => dump(&source, &shared).await,
-    path if path.starts_with(SERVICE) => show_service(&path[SERVICE.len()..], &shared),
+    NEWS => tell_news(request.uri().query(), &part),
+    STATE => dump(source, shared).await,
+    path if path.starts_with(SERVICE) => show_service(&path[SERVICE.len()..], shared),
     path if path == readiness && shared.is_ready() => web::answer(StatusCode::OK, ""),
     path if path == readiness => web::answer(StatusCode::SERVICE_UNAVAILABLE, ""),
     _ => web::answer(StatusCode::NOT_FOUND, ""),
@@ -246,12 +250,15 @@
   web::answer(StatusCode::NOT_FOUND, body.to_string())
 }
 
-fn tell_news(query: Option<&str>, shared: &Shared) -> Response<Full<Bytes>> {
+fn tell_news<S>(query: Option<&str>, part: &Part<S>) -> Response<Full<Bytes>> {
   let after = web::parameter(query, "after");
   let Some(after) = after.and_then(|after| after.parse().ok()) else {
     return web::answer(StatusCode::BAD_REQUEST, "expected `after`, a revision");
   };
-  match postcard::to_allocvec(&shared.catalog().since(after)) {
+  match postcard::to_allocvec(&part.shared.catalog().since(after)) {
+    Ok(body) if !part.allowance.takes(Instant::now(), body.len()) => {
+      web::answer(StatusCode::SERVICE_UNAVAILABLE, "ask another")
+    }
     Ok(body) => web::answer(StatusCode::OK, body),
     Err(error) => web::answer(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
   }
--- a/src/datagram/rate.rs
+++ b/src/datagram/rate.rs
@@ -28,6 +28,11 @@
     NonZeroU64::new(bytes as u64).map(Self)
   }
 
+  /// Its order of magnitude: links of nearly the same rate are alike.
+  pub fn magnitude(self) -> u8 {
+    self.0.get().ilog2() as u8
+  }
+
   /// How many bytes it carries in a time.
   pub fn bytes_in(self, time: Duration) -> f64 {
     self.0.get() as f64 * time.as_secs_f64()
--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -4,13 +4,14 @@
 use {
   self::peer::Peer,
   super::{
-    Catalog, Change, News, Outbox, Settings, Tuning,
+    Catalog, Change, News, Outbox, Rate, Settings, Tuning,
     event::Origin,
     frame::{Led, Role, Status},
   },
   crate::Revision,
   serde_json::json,
   std::{
+    cmp::Reverse,
     collections::BTreeMap,
     net::SocketAddrV4,
     time::{Duration, Instant},
@@ -58,6 +59,8 @@
   /// When agents of other data centres are told next.
   far_agents: Instant,
   incarnation: u32,
+  /// The order of magnitude of the link's rate; 0 where that is not known.
+  link: u8,
   next: Instant,
   peers: BTreeMap<SocketAddrV4, Peer>,
   pull: Option<(SocketAddrV4, Instant)>,
@@ -89,6 +92,7 @@
       data_centre: digest(&settings.data_centre),
       far_agents: now,
       incarnation,
+      link: settings.link.map(Rate::magnitude).unwrap_or_default(),
       next: now,
       peers: others.map(|seed| (*seed, Peer::new(now, true))).collect(),
       pull: None,
@@ -176,16 +180,19 @@
     configuration.map_or(self.tuning.idle, |held| held.idle.max(IDLE_LEAST))
   }
 
-  /// Whether this process is to read from the platform: the first few balancers by a hash that
-  /// all share, and each one that nobody's fresh word reaches.
+  /// Whether this process is to read from the platform: the first few balancers, those with the widest
+  /// links and then by a hash that all share, and each one that nobody's fresh word reaches. The reader
+  /// tells all others: over a link of 10 Mbit/s its callers' packets waited behind that.
   pub fn is_reader(&self, now: Instant) -> bool {
     if !self.balancer || self.stopping {
       return false;
     }
-    let own = rank(self.address);
+    let own = rank(self.address, self.link);
     let live = self.peers.iter();
     let live = live.filter(|(_, peer)| peer.balancer && !peer.stopping && self.is_heard(now, peer));
-    let before = live.filter(|(address, _)| rank(**address) < own).count();
+    let before = live
+      .filter(|(address, peer)| rank(**address, peer.link) < own)
+      .count();
     if before < self.tuning.readers {
       return true;
     }
@@ -274,6 +281,7 @@
       peer.balancer = balancer;
       peer.complete = status.complete;
       peer.data_centre = Some(status.data_centre);
+      peer.link = status.link;
       peer.stopping = status.stopping;
     }
     if !self.is_behind(now, from, status.complete)
@@ -383,6 +391,7 @@
   xxh3_64(name.as_bytes()) as u32
 }
 
-fn rank(address: SocketAddrV4) -> u64 {
-  xxh3_64(&address.ip().octets())
+/// The place of a balancer among those that may read; the least reads.
+fn rank(address: SocketAddrV4, link: u8) -> (Reverse<u8>, u64) {
+  (Reverse(link), xxh3_64(&address.ip().octets()))
 }
--- a/src/datagram/spread/peer.rs
+++ b/src/datagram/spread/peer.rs
@@ -11,6 +11,8 @@
   pub data_centre: Option<u32>,
   /// When it was last heard of.
   pub heard: Option<Instant>,
+  /// The order of magnitude of its link's rate; 0 where that is not known.
+  pub link: u8,
   /// When it became known.
   pub since: Instant,
   /// Whether it is about to stop.
@@ -27,6 +29,7 @@
       complete: Revision::default(),
       data_centre: None,
       heard: None,
+      link: 0,
       since: now,
       stopping: false,
       told: None,
--- a/src/datagram/spread/telling.rs
+++ b/src/datagram/spread/telling.rs
@@ -82,6 +82,7 @@
       confirmed_ms: self.confirmed(now).map(|age| age.as_millis() as u32),
       data_centre: self.data_centre,
       incarnation: self.incarnation,
+      link: self.link,
       role,
       stopping: self.stopping,
     }
--- a/tests/datagram/balancing.rs
+++ b/tests/datagram/balancing.rs
@@ -49,6 +49,7 @@
     confirmed_ms: None,
     data_centre: 0,
     incarnation,
+    link: 0,
     role: Role::Agent(load),
     stopping: false,
   });
--- a/tests/datagram/main.rs
+++ b/tests/datagram/main.rs
@@ -1,6 +1,8 @@
 //! The machines of datagram services: each alone, and all together in a world without sockets.
 
 mod agent;
+mod allowance;
+mod amending;
 mod balancer;
 mod balancing;
 mod bundle;
--- a/tests/datagram/remembering.rs
+++ b/tests/datagram/remembering.rs
@@ -33,6 +33,7 @@
     confirmed_ms: Some(10),
     data_centre: 0,
     incarnation: 1,
+    link: 0,
     role: Role::Balancer,
     stopping: false,
   };
--- a/tests/datagram/spread.rs
+++ b/tests/datagram/spread.rs
@@ -27,6 +27,7 @@
     confirmed_ms,
     data_centre: 0,
     incarnation: 1,
+    link: 0,
     role: Role::Balancer,
     stopping: false,
   }
