Share new flows by targets that are alike

Cause: all balancers hear the same loads, and each took the target of the very least cost: one target had all until its load said otherwise. One that nobody had measured counted as taking 40 ms, so that it got nothing while others were measured below that. Ruled out: locality (each data centre has 90 targets for 50 balancers), remembered connections (the flows were new).

--- a/src/datagram/balancer/choosing.rs
+++ b/src/datagram/balancer/choosing.rs
@@ -2,14 +2,21 @@
 
 use {
   super::{
-    cost::{Typical, UNLIKELY_MS, is_hasty, wait},
+    cost::{Typical, UNLIKELY_MS, is_hasty},
     place::Tried,
     targets::Targets,
   },
-  crate::datagram::Service,
+  crate::datagram::{Flow, Service},
+  smallvec::SmallVec,
   std::{net::SocketAddrV4, time::Instant},
+  xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
+/// Targets whose costs differ by no more are alike, in milliseconds: less than half of what a slot in
+/// use makes, and than what chance makes of the times of the same requests. All balancers hear of the
+/// same loads; those who take the very least all go to one target until its load says otherwise.
+const ALIKE_MS: f64 = 5.0;
+
 /// A target for a new flow.
 #[derive(Clone, Copy, Debug)]
 pub struct Choice {
@@ -30,12 +37,13 @@
   pub fn choose(
     &self,
     now: Instant,
+    flow: &Flow,
     service: &Service,
     tried: &Tried,
     limit_ms: f64,
   ) -> Option<Choice> {
     let typical = self.typical(service);
-    let within = |limit_ms| self.best(now, service, tried, typical, limit_ms);
+    let within = |limit_ms| self.best(now, flow, service, tried, typical, limit_ms);
     let best = within(f64::INFINITY)?;
     if best.wait_ms <= limit_ms {
       return Some(best);
@@ -50,10 +58,12 @@
     seen.any(|seen| seen.service == *service && self.cost(now, seen, Typical::default()).is_some())
   }
 
-  /// The one of the least cost, of those where a new flow waits no longer than a limit.
+  /// One of the least cost, of those where a new flow waits no longer than a limit. The flow decides
+  /// between those that are alike.
   fn best(
     &self,
     now: Instant,
+    flow: &Flow,
     service: &Service,
     tried: &Tried,
     typical: Typical,
@@ -66,25 +76,34 @@
       if seen.service != *service {
         return None;
       }
-      if wait(seen) > limit_ms {
+      if typical.wait_ms(seen) > limit_ms {
         return None;
       }
       let cost = self.cost(now, seen, typical)?;
       Some((cost, agent))
     });
-    let (_, agent) = costs.min_by(|one, other| one.0.total_cmp(&other.0))?;
-    self.choice(*agent)
+    let costs = costs.collect::<SmallVec<[(f64, &SocketAddrV4); 64]>>();
+    let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
+    let alike = costs.iter().filter(|(cost, _)| *cost <= least + ALIKE_MS);
+    let key = flow.key();
+    let (_, agent) = alike.min_by_key(|(_, agent)| rank(key, **agent))?;
+    self.choice_of(**agent, typical)
   }
 
   /// A certain target for a new flow.
   pub fn choice(&self, agent: SocketAddrV4) -> Option<Choice> {
+    let service = self.service(agent)?;
+    self.choice_of(agent, self.typical(service))
+  }
+
+  fn choice_of(&self, agent: SocketAddrV4, typical: Typical) -> Option<Choice> {
     let seen = self.by_agent.get(&agent)?;
     Some(Choice {
       agent,
       is_free: seen.load.work.saturating_add(seen.pending) < seen.slots
         && !seen.load.is_full(seen.pending),
       is_granted: false,
-      wait_ms: wait(seen),
+      wait_ms: typical.wait_ms(seen),
     })
   }
 
@@ -123,3 +142,8 @@
     rates.sum()
   }
 }
+
+/// The place of an agent in the order of a flow, the same in every process.
+fn rank(flow: u64, agent: SocketAddrV4) -> u64 {
+  xxh3_64_with_seed(&agent.ip().octets(), flow)
+}
--- a/src/datagram/balancer/cost.rs
+++ b/src/datagram/balancer/cost.rs
@@ -48,6 +48,31 @@
   ms: f64,
 }
 
+impl Typical {
+  /// The time that a target takes for a request that does not wait, in milliseconds: measured, else
+  /// typical. One that nobody has measured would otherwise be given nothing for as long as others
+  /// are said to be quicker than what is assumed.
+  fn time_ms(&self, seen: &Seen) -> f64 {
+    if seen.load.service_ms > 0 {
+      f64::from(seen.load.service_ms)
+    } else {
+      self.ms
+    }
+  }
+
+  /// The time until a request more would be answered at a target, in milliseconds.
+  pub(super) fn wait_ms(&self, seen: &Seen) -> f64 {
+    if seen.load.is_full(seen.pending) {
+      return FULL_MS;
+    }
+    wait_ms(
+      self.time_ms(seen),
+      seen.load.work.saturating_add(seen.pending),
+      seen.slots,
+    )
+  }
+}
+
 /// What makes the less busy of two targets the better one before anything waits, in milliseconds
 /// at full use.
 const USE_MS: f64 = 12.0;
@@ -81,7 +106,7 @@
       cost += always + by_kilobyte * f64::from(seen.load.bytes) / 1024.0;
     }
     let work = f64::from(seen.load.work) + f64::from(seen.pending);
-    Some(cost + wait(seen) + USE_MS * work / f64::from(seen.slots))
+    Some(cost + typical.wait_ms(seen) + USE_MS * work / f64::from(seen.slots))
   }
 
   /// What is typical of the targets of a service.
@@ -123,15 +148,3 @@
   let (_, median, _) = values.select_nth_unstable(middle);
   *median
 }
-
-/// The time until a request more would be answered there, in milliseconds.
-pub(super) fn wait(seen: &Seen) -> f64 {
-  if seen.load.is_full(seen.pending) {
-    return FULL_MS;
-  }
-  wait_ms(
-    f64::from(seen.load.service_ms),
-    seen.load.work.saturating_add(seen.pending),
-    seen.slots,
-  )
-}
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -198,7 +198,7 @@
     tried: &Tried,
   ) -> Option<Choice> {
     let limit_ms = self.limit_ms(flow, service);
-    self.targets.choose(now, service, tried, limit_ms)
+    self.targets.choose(now, flow, service, tried, limit_ms)
   }
 
   /// An opening packet goes on to the next target.
--- a/tests/datagram/main.rs
+++ b/tests/datagram/main.rs
@@ -22,6 +22,7 @@
 mod remembering;
 mod restarting;
 mod searching;
+mod sharing;
 mod spread;
 mod support;
 mod trying;
--- /dev/null
+++ b/tests/datagram/sharing.rs
@@ -0,0 +1,93 @@
+//! New flows are shared by targets that are alike, whatever all balancers hear of them.
+
+use {
+  crate::{
+    balancing::{Balancer, carried, tell},
+    plain::Packet,
+    support::{Stepped, configured, flow, listed, news},
+  },
+  fallwell::{config::Presence, datagram::Load},
+  std::{collections::BTreeMap, ops::Range},
+};
+
+/// The load of a target that has answered so far, in milliseconds a request.
+fn measured(service_ms: u16) -> Load {
+  Load {
+    service_ms,
+    ..Load::default()
+  }
+}
+
+/// A balancer before targets of service `a` that tell of these loads.
+fn before(hosts: Range<u8>, load: impl Fn(u8) -> Load) -> Balancer {
+  let mut balancer = Stepped::balancer(1, None);
+  let listed = hosts.clone().map(|host| {
+    let id = format!("up-{host}");
+    listed(u64::from(host) + 2, &id, host, "a", Presence::Live)
+  });
+  let records = [configured(1, 1, &[(1, "a")])].into_iter().chain(listed);
+  balancer.platform(news(None, 300, &records.collect::<Vec<_>>()));
+  for host in hosts {
+    tell(&mut balancer, host, 1, load(host));
+  }
+  balancer
+}
+
+/// How many of so many flows, one after another, go to each target; each tells the same load again
+/// once its flow is over.
+fn shares(
+  balancer: &mut Balancer,
+  ports: Range<u16>,
+  load: impl Fn(u8) -> Load,
+  shares: &mut BTreeMap<u8, u32>,
+) {
+  for port in ports {
+    let sent = balancer.packet(Packet::open(flow(port, 1), 0));
+    let (host, _) = carried(&sent)[0];
+    *shares.entry(host).or_default() += 1;
+    tell(balancer, host, 1, load(host));
+  }
+}
+
+#[test]
+fn a_fleet_of_balancers_spreads_light_load_over_all_targets() {
+  // Each hears the same of 180 targets whose times differ as chance makes them.
+  let load = |host: u8| measured(38 + u16::from(host) % 5);
+  let mut all = BTreeMap::new();
+  for number in 0..60_u16 {
+    let mut balancer = before(20..200, load);
+    let first = 1024 + number * 300;
+    shares(&mut balancer, first..first + 300, load, &mut all);
+  }
+  let mean = 60 * 300 / 180;
+  let busiest = all.values().max().copied().unwrap_or_default();
+  assert_eq!(all.len(), 180, "some targets got none");
+  assert!(busiest <= 2 * mean, "{busiest} against {mean} in the mean");
+}
+
+#[test]
+fn a_target_that_nobody_has_measured_gets_its_share() {
+  // Those that were measured take less than what is assumed of one that was not.
+  let load = |host: u8| if host < 24 { measured(15) } else { measured(0) };
+  let mut balancer = before(20..25, load);
+  let mut all = BTreeMap::new();
+  shares(&mut balancer, 2000..2500, load, &mut all);
+  let unmeasured = all.get(&24).copied().unwrap_or_default();
+  assert!((50..=200).contains(&unmeasured), "{all:?}");
+}
+
+#[test]
+fn a_target_that_is_slower_or_busier_than_alike_is_passed_over() {
+  let load = |host: u8| match host {
+    20 => measured(60),
+    21 => Load {
+      work: 2,
+      ..measured(40)
+    },
+    _ => measured(40),
+  };
+  let mut balancer = before(20..30, load);
+  let mut all = BTreeMap::new();
+  shares(&mut balancer, 2000..2300, load, &mut all);
+  assert!(!all.contains_key(&20) && !all.contains_key(&21), "{all:?}");
+}
