--- a/src/datagram/agent.rs
+++ b/src/datagram/agent.rs
@@ -8,6 +8,7 @@
 mod grants;
 mod held;
 mod machine;
+mod restarting;
 mod trying;
 mod work;
 
--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -7,6 +7,7 @@
 mod closures;
 mod cost;
 mod egress;
+mod ending;
 mod frames;
 mod history;
 mod machine;
@@ -20,6 +21,7 @@
 mod search;
 mod searching;
 mod targets;
+mod trying;
 mod waiting;
 
 pub use machine::Machine;
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -8,8 +8,8 @@
     place::{Place, State},
     questions::Questions,
     search::Search,
-    searching::TRY_EVERY,
     targets::Targets,
+    trying::TRY_EVERY,
   },
   crate::{
     Code,
--- a/src/datagram/balancer/search.rs
+++ b/src/datagram/balancer/search.rs
@@ -16,6 +16,9 @@
 /// Agents.
 type Agents = SmallVec<[SocketAddrV4; 12]>;
 
+/// Agents, with the services of their upstreams.
+type Serving = SmallVec<[(SocketAddrV4, Digest); 12]>;
+
 /// A flow that is being looked for.
 #[derive(Clone, Debug)]
 pub struct Search {
@@ -40,7 +43,7 @@
   /// Who of them was given it since the last question.
   trying: Agents,
   /// Who of them could not say, and the service of its upstream.
-  unsure: SmallVec<[(SocketAddrV4, Digest); 12]>,
+  unsure: Serving,
   /// Who has not said yes or no.
   pub waiting: Agents,
   /// Whether those of other data centres are asked too.
@@ -61,7 +64,7 @@
       probe: None,
       tried: Agents::new(),
       trying: Agents::new(),
-      unsure: SmallVec::new(),
+      unsure: Serving::new(),
       waiting: Agents::new(),
       wide: false,
     }
@@ -142,9 +145,9 @@
   }
 
   /// Who may be given a packet to try, and the services of their upstreams.
-  pub fn to_try(&self) -> SmallVec<[(SocketAddrV4, Digest); 12]> {
+  pub fn to_try(&self) -> Serving {
     if self.trying.len() == self.unsure.len() {
-      return SmallVec::new();
+      return Serving::new();
     }
     let unsure = self.unsure.iter().copied();
     unsure
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -15,8 +15,15 @@
 /// common datagram.
 pub const PAST_MAX: usize = 24;
 
-/// How many agents a packet is sent on to at most: it fits a common datagram with most packets.
-pub const FAN_MAX: usize = 24;
+/// How many agents one frame names at most that a packet of so many bytes is sent on to: both fit a common
+/// datagram.
+pub fn fan_max(packet: usize) -> usize {
+  /// The room of a datagram, in bytes.
+  const ROOM: usize = 1400;
+  /// An agent and the service of its upstream, in bytes.
+  const EACH: usize = 18;
+  (ROOM.saturating_sub(packet) / EACH).max(1)
+}
 
 /// How many flows a question names at most: it fits a common datagram.
 pub const ASKED_MAX: usize = 48;
--- a/src/datagram/spread.rs
+++ b/src/datagram/spread.rs
@@ -1,5 +1,6 @@
 mod links;
 mod peer;
+mod reading;
 mod telling;
 
 use {
@@ -12,7 +13,6 @@
   crate::Revision,
   serde_json::json,
   std::{
-    cmp::Reverse,
     collections::BTreeMap,
     net::SocketAddrV4,
     time::{Duration, Instant},
@@ -31,9 +31,6 @@
 /// The least rest after which a flow is forgotten, whatever the configuration says.
 const IDLE_LEAST: Duration = Duration::from_secs(1);
 
-/// How long the first start of the whole system may take to spread from its seeds.
-const FIRST_START: Duration = Duration::from_secs(5);
-
 /// How long a question to a peer may take before another is asked.
 const PULL: Duration = Duration::from_millis(500);
 
@@ -97,7 +94,7 @@
       confirmed: None,
       data_centre: digest(&settings.data_centre),
       far_agents: now,
-      hears_until: now + hears(settings),
+      hears_until: now + reading::hears(settings),
       incarnation,
       link: settings.link.map(Rate::magnitude).unwrap_or_default(),
       next: now,
@@ -187,29 +184,6 @@
     configuration.map_or(self.tuning.idle, |held| held.idle.max(IDLE_LEAST))
   }
 
-  /// Whether this process is to read from the platform: the first few balancers, those with the widest
-  /// links and then by a hash that all share, and each one that nobody's fresh word reaches. The reader
-  /// tells all others: over a link of 10 Mbit/s its callers' packets waited behind that.
-  pub fn is_reader(&self, now: Instant) -> bool {
-    if !self.balancer || self.stopping {
-      return false;
-    }
-    if self.confirmed.is_none() && now < self.hears_until {
-      return false;
-    }
-    let own = rank(self.address, self.link);
-    let live = self.peers.iter();
-    let live = live.filter(|(_, peer)| peer.balancer && !peer.stopping && self.is_heard(now, peer));
-    let before = live
-      .filter(|(address, peer)| rank(**address, peer.link) < own)
-      .count();
-    if before < self.tuning.readers {
-      return true;
-    }
-    let patience = self.tuning.takeover + Duration::from_millis(100) * before as u32;
-    self.confirmed(now).is_none_or(|age| age >= patience)
-  }
-
   /// Whether a peer that knows the list up to a revision knows more; if so, it is asked.
   pub fn is_behind(&mut self, now: Instant, peer: SocketAddrV4, complete: Revision) -> bool {
     let behind = complete > self.catalog.complete();
@@ -411,23 +385,7 @@
   }
 }
 
-/// How long a process waits for a peer's word before it reads itself. Where the whole system starts for
-/// the first time nobody is served yet, and its seeds read for all: 304 balancers made 2,700 calls.
-fn hears(settings: &Settings) -> Duration {
-  let seed = settings.seeds.is_empty() || settings.seeds.contains(&settings.peers);
-  if settings.first_start && !seed {
-    FIRST_START
-  } else {
-    Duration::ZERO
-  }
-}
-
 /// A hash of a name that is the same in every process.
 fn digest(name: &str) -> u32 {
   xxh3_64(name.as_bytes()) as u32
 }
-
-/// The place of a balancer among those that may read; the least reads.
-fn rank(address: SocketAddrV4, link: u8) -> (Reverse<u8>, u64) {
-  (Reverse(link), xxh3_64(&address.ip().octets()))
-}
