--- a/tests/datagram/links.rs
+++ b/tests/datagram/links.rs
@@ -1,12 +1,15 @@
 //! What a process tells others of itself grows with its data centre, not with the fleet.
 
 use {
-  crate::support::{Stepped, listed, news, settings},
+  crate::{
+    balancing::{absent, is_reset, search, tell as tell_load},
+    support::{Stepped, flow, listed, news, settings, unlisted},
+  },
   fallwell::{
     Revision,
     config::Presence,
     datagram::{
-      Event, Frame, Machine, Origin, Outbox, Record, Settings, Tuning, balancer,
+      Event, Frame, Load, Machine, Origin, Outbox, Record, Settings, Tuning, balancer,
       frame::{Role, Status},
     },
   },
@@ -164,3 +167,60 @@
   seed.first_start = false;
   assert!(reads(&seed, Duration::ZERO));
 }
+
+/// How long the caller of a flow waits for its reset, in milliseconds, where one agent that may have the
+/// flow says nothing and its target has left the list, and so many other balancers are heard of.
+fn reset_after(balancers: u32) -> u64 {
+  let mut balancer = crate::balancing::balancer();
+  let up = [listed(5, "up-13", 13, "a", Presence::Live)];
+  balancer.platform(news(Some(4), 5, &up));
+  balancer.platform(news(Some(5), 6, &[unlisted(6, "up-13")]));
+  for _ in 0..30 {
+    balancer.pass(Duration::from_millis(100));
+    for host in [11, 12, 21] {
+      tell_load(&mut balancer, host, 1, Load::default());
+    }
+    for number in 1..=balancers {
+      let mut bytes = Vec::new();
+      status(number, Role::Balancer).encode(&mut bytes);
+      let from = address(number);
+      balancer.step(Event::Frame {
+        from,
+        bytes: &bytes,
+      });
+    }
+  }
+  // A peer knows all that left the list.
+  let past = Frame::Past {
+    known: true,
+    led: vec![],
+    part: 0,
+    parts: 1,
+    past: vec![],
+  };
+  let mut bytes = Vec::new();
+  past.encode(&mut bytes);
+  let from = address(1);
+  balancer.step(Event::Frame {
+    from,
+    bytes: &bytes,
+  });
+  search(&mut balancer);
+  for host in [11, 12] {
+    balancer.frame(host, &absent(6), &[]);
+  }
+  for step in 1..100 {
+    let sent = balancer.pass(Duration::from_millis(50));
+    if is_reset(&sent, flow(1, 1), 100) {
+      return step * 50;
+    }
+  }
+  panic!("no reset");
+}
+
+#[test]
+fn an_agent_that_does_not_keep_in_touch_has_time_to_answer_before_it_counts_as_lost() {
+  assert!(reset_after(3) < 500);
+  let waits = reset_after(100);
+  assert!((1500..4000).contains(&waits), "{waits}");
+}
