--- a/tests/datagram/balancing.rs
+++ b/tests/datagram/balancing.rs
@@ -56,6 +56,21 @@
   balancer.frame(host, &status, &[])
 }
 
+/// A balancer tells of itself.
+pub fn told(balancer: &mut Balancer, host: u8) -> Vec<Sent> {
+  let status = Status {
+    balancers: vec![],
+    complete: Revision(4),
+    confirmed_ms: Some(10),
+    data_centre: 0,
+    incarnation: 1,
+    link: 0,
+    role: Role::Balancer,
+    stopping: false,
+  };
+  balancer.frame(host, &Frame::Status(status), &[])
+}
+
 /// Who a packet was carried to, and what for.
 pub fn carried(sent: &[Sent]) -> Vec<(u8, Purpose)> {
   let frames = sent.iter().filter_map(|sent| match sent {
--- a/tests/datagram/random_run.rs
+++ b/tests/datagram/random_run.rs
@@ -114,7 +114,12 @@
   play_in(world(seed), seed);
 }
 
-fn play_in(mut world: World, seed: u64) {
+fn play_in(world: World, seed: u64) {
+  play_with(world, seed, disturb);
+}
+
+/// Calls come while one thing after another happens; then all is mended and everybody is served.
+fn play_with(mut world: World, seed: u64, disturb: impl Fn(&mut World)) {
   for _ in 0..40 {
     for _ in 0..4 {
       let route = world.rng.random_range(1..3);
@@ -369,21 +374,7 @@
 fn play_weights(seed: u64) {
   let mut world = world(seed);
   world.weigh(&[(1, vec![("a", 90), ("b", 10)]), (2, vec![("b", 1)])]);
-  for _ in 0..40 {
-    for _ in 0..4 {
-      let route = world.rng.random_range(1..3);
-      let requests = world.rng.random_range(1..12);
-      world.call(route, requests);
-    }
-    let ms = world.rng.random_range(10..400);
-    world.run(ms);
-    if world.rng.random_bool(0.4) {
-      disturb_weights(&mut world);
-    }
-  }
-  mend(&mut world);
-  assert!(world.is_level(), "seed {seed}: a process is behind");
-  is_well(&mut world, seed);
+  play_with(world, seed, disturb_weights);
 }
 
 #[test]
--- a/tests/datagram/remembering.rs
+++ b/tests/datagram/remembering.rs
@@ -2,7 +2,7 @@
 
 use {
   crate::{
-    balancing::{Balancer, absent, asked, balancer, carried, is_reset, search, tell},
+    balancing::{absent, asked, balancer, carried, is_reset, search, tell, told},
     plain::Packet,
     support::{Sent, flow, found, news, peer, unlisted, upstream},
   },
@@ -11,7 +11,7 @@
     Revision,
     datagram::{
       Frame, Load,
-      frame::{Gone, Known, Purpose, Role, Status},
+      frame::{Gone, Known, Purpose},
     },
   },
   std::time::Duration,
@@ -25,21 +25,6 @@
   }
 }
 
-/// A balancer's word of itself.
-fn told(balancer: &mut Balancer, host: u8) -> Vec<Sent> {
-  let status = Status {
-    balancers: vec![],
-    complete: Revision(4),
-    confirmed_ms: Some(10),
-    data_centre: 0,
-    incarnation: 1,
-    link: 0,
-    role: Role::Balancer,
-    stopping: false,
-  };
-  balancer.frame(host, &Frame::Status(status), &[])
-}
-
 #[test]
 fn a_balancer_that_has_just_started_asks_its_peers_what_left_before_it_resets() {
   let mut balancer = balancer();
--- a/tests/datagram/weights.rs
+++ b/tests/datagram/weights.rs
@@ -3,7 +3,7 @@
 
 use {
   crate::{
-    balancing::{Balancer, absent, asked, balancer, carried, is_reset, search, tell},
+    balancing::{Balancer, absent, asked, balancer, carried, is_reset, search, tell, told},
     plain::Packet,
     support::{
       Sent, agent, backends, carry, configured, configured_weighted, flow, news, peer, unlisted,
@@ -15,7 +15,7 @@
     Revision,
     datagram::{
       Backends, Flow, Frame, Load, Record, Service,
-      frame::{Led, Purpose, Refusal, Role, Status},
+      frame::{Led, Purpose, Refusal},
     },
   },
   std::{collections::BTreeMap, net::SocketAddrV4, time::Duration},
@@ -254,21 +254,6 @@
   assert!(!all.contains(&21), "{all:?}");
 }
 
-/// A balancer's word of itself.
-fn told(balancer: &mut Balancer, host: u8) {
-  let status = Status {
-    balancers: vec![],
-    complete: Revision(4),
-    confirmed_ms: Some(10),
-    data_centre: 0,
-    incarnation: 1,
-    link: 0,
-    role: Role::Balancer,
-    stopping: false,
-  };
-  balancer.frame(host, &Frame::Status(status), &[]);
-}
-
 #[test]
 fn a_balancer_that_has_just_started_hears_from_its_peers_where_addresses_led() {
   let mut balancer = balancer();
