Keep resets of flows that are only tried from their callers

A balancer that had just started searched for a flow that was 31 ms old; an agent of a target that had just started could not say, and was given one packet to try. Its target answered with a reset instead of sending the packet back, and the agent passed that on to the caller, 2 ms after the flow's own agent had said that it has it. Why a target that never held the flow resets is the target's matter and not known. Ruled out: a reset of ours (no balancer wrote one), two targets with the flow (one opening packet, one place). Change: a reset of a flow that is only being tried counts as a no and is not passed on. Where the flow had ended there, all say no and the balancer tells the caller. Test: trying::a_reset_by_an_upstream_that_is_only_tried_does_not_reach_the_caller failed before.

--- a/src/datagram/agent/answers.rs
+++ b/src/datagram/agent/answers.rs
@@ -8,7 +8,7 @@
   },
   crate::{
     Code,
-    datagram::{Codec, Frame, Head, Outbox, Via, frame::Refusal},
+    datagram::{Codec, Flow, Frame, Head, Outbox, Via, frame::Refusal},
   },
   std::{net::SocketAddrV4, time::Instant},
 };
@@ -28,12 +28,42 @@
       return Ok(());
     }
     self.heard(now);
+    if head.resets && self.is_tested(&head.flow) {
+      self.denied(now, head.flow, out);
+      return Ok(());
+    }
     self.answered(now, &head, packet.len(), out);
     let to = SocketAddrV4::new(*head.flow.caller.ip(), self.port);
     out.packet(Via::Callers, to, packet);
     Ok(())
   }
 
+  /// Whether a flow is only being tried at the upstream.
+  fn is_tested(&self, flow: &Flow) -> bool {
+    let entry = self.flows.get(flow);
+    entry.is_some_and(|entry| matches!(entry.state, State::Tested { .. }))
+  }
+
+  /// The upstream resets a flow that was only tried there: it is not here. Passed on, the reset would end a
+  /// flow that is open at another target.
+  fn denied(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
+    log::info!(flow:% = flow; "agent: upstream resets a tested flow.");
+    let entry = self.flows.get(&flow).copied();
+    let (asker, balancer) =
+      entry.map_or_else(Default::default, |entry| (entry.asker, entry.balancer));
+    self
+      .flows
+      .insert(flow, Held::new(now, State::Absent, balancer));
+    if let Some(balancer) = balancer {
+      let frame = Frame::Absent {
+        flows: vec![flow],
+        known: self.known(now, asker),
+        lost: false,
+      };
+      out.frame(balancer, &frame, &[]);
+    }
+  }
+
   /// The upstream said something. After a silence it may have been started again.
   fn heard(&mut self, now: Instant) {
     if self.work.heard(now) {
--- a/tests/datagram/trying.rs
+++ b/tests/datagram/trying.rs
@@ -2,7 +2,7 @@
 
 use {
   crate::{
-    plain::Packet,
+    plain::{Kind, Packet},
     support::{Sent, Stepped, agent, configured, digest, flow, listed, news, peer},
   },
   assert_matches::assert_matches,
@@ -92,3 +92,42 @@
   let sent = agent.frame(8, &attempt("b"), &packet.write());
   assert!(!sent.contains(&Sent::Upstream(packet)), "{sent:?}");
 }
+
+#[test]
+fn a_reset_by_an_upstream_that_is_only_tried_does_not_reach_the_caller() {
+  let mut agent = Stepped::agent(9, "a", false);
+  let records = [
+    configured(1, 1, &[(1, "a")]),
+    listed(2, "up", 9, "a", Presence::Live),
+  ];
+  agent.platform(news(None, 2, &records));
+  let packet = Packet::data(flow(1, 1), 2, 101);
+  agent.frame(8, &attempt("a"), &packet.write());
+  let reset = Packet {
+    acknowledges: 2,
+    data: 0,
+    kind: Kind::Reset,
+    sequence: 101,
+    ..packet
+  };
+  let sent = agent.packet(reset);
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(back, Frame::Absent { lost: false, .. }, _)] if *back == peer(BALANCER)
+  );
+}
+
+#[test]
+fn a_reset_of_a_flow_that_is_here_reaches_the_caller() {
+  let mut agent = agent();
+  let held = Frame::Held {
+    flows: vec![flow(1, 1)],
+  };
+  agent.frame(BALANCER, &held, &[]);
+  let reset = Packet {
+    data: 0,
+    kind: Kind::Reset,
+    ..Packet::data(flow(1, 1), 2, 101)
+  };
+  assert_eq!(agent.packet(reset), [Sent::Caller(reset)]);
+}
