Let a reset of a tried flow end its work, and choose the packet to try when it is tried

Cause: the agent's answer to a reset of a flow that is only tried repeated the end of its answer to a packet that was sent back, but not its count of work: where a late opening packet had been counted, the upstream looked busier by one for good. The balancer chose the packet to try, and copied it, at each word of an agent, also where nobody was to be given it: the first one was kept though a smaller one came later. Change: one piece denies a flow and one ends its work, for both; the packet is chosen and borrowed when it is given. Tests, both failed before: trying::a_flow_whose_try_was_reset_counts_as_work_no_more, searching::the_smallest_packet_that_has_ come_by_then_is_tried. The tests of an agent share their agent, answers and returned packets; assertions as they were.

--- a/src/datagram/agent/answers.rs
+++ b/src/datagram/agent/answers.rs
@@ -49,19 +49,8 @@
   fn denied(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
     log::info!(flow:% = flow; "agent: upstream resets a tested flow.");
     let entry = self.flows.get(&flow).copied();
-    let (asker, balancer) =
-      entry.map_or_else(Default::default, |entry| (entry.asker, entry.balancer));
-    self
-      .flows
-      .insert(flow, Held::new(now, State::Absent, balancer));
-    if let Some(balancer) = balancer {
-      let frame = Frame::Absent {
-        flows: vec![flow],
-        known: self.known(now, asker),
-        lost: false,
-      };
-      out.frame(balancer, &frame, &[]);
-    }
+    self.forget_work(entry);
+    self.deny(now, flow, entry, &[], out);
   }
 
   /// The upstream said something. After a silence it may have been started again.
@@ -132,31 +121,42 @@
       }
       return;
     }
-    if entry.is_some_and(|entry| entry.waits.is_some() || entry.expected) {
-      self.work.ended();
-    }
+    self.forget_work(entry);
     log::info!(
       flow:% = flow, opens = head.opens, known = matches!(entry.map(|entry| entry.state), Some(State::Open)), to:? = entry.and_then(|entry| entry.balancer);
       "agent: upstream does not hold the flow."
     );
-    let balancer = entry.and_then(|entry| entry.balancer);
     if head.opens {
       self.flows.remove(&flow);
-      if let Some(balancer) = balancer {
+      if let Some(balancer) = entry.and_then(|entry| entry.balancer) {
         let frame = Frame::Refused(flow, Refusal::Full, self.load(now));
         out.frame(balancer, &frame, &[]);
       }
       return;
     }
-    self
-      .flows
-      .insert(flow, Held::new(now, State::Absent, balancer));
     let wanted = !matches!(
       entry.map(|entry| entry.state),
       Some(State::Tested { wanted: false, .. })
     );
+    let packet = if wanted { packet } else { &[] };
+    self.deny(now, flow, entry, packet, out);
+  }
+
+  /// A flow is not at the upstream, whatever its entry said: its balancer is told, with a caller's packet
+  /// that goes elsewhere.
+  fn deny(
+    &mut self,
+    now: Instant,
+    flow: Flow,
+    entry: Option<Held>,
+    packet: &[u8],
+    out: &mut Outbox,
+  ) {
+    let balancer = entry.and_then(|entry| entry.balancer);
+    self
+      .flows
+      .insert(flow, Held::new(now, State::Absent, balancer));
     if let Some(balancer) = balancer {
-      let packet = if wanted { packet } else { &[] };
       let frame = Frame::Absent {
         flows: vec![flow],
         known: self.known(now, entry.map(|entry| entry.asker).unwrap_or_default()),
@@ -165,4 +165,11 @@
       out.frame(balancer, &frame, packet);
     }
   }
+
+  /// What an entry counted as work ends with it.
+  fn forget_work(&mut self, entry: Option<Held>) {
+    if entry.is_some_and(|entry| entry.waits.is_some() || entry.expected) {
+      self.work.ended();
+    }
+  }
 }
--- a/src/datagram/balancer/trying.rs
+++ b/src/datagram/balancer/trying.rs
@@ -58,12 +58,13 @@
       let recent = self.tried.get(&flow).is_some_and(recent);
       agents.truncate(usize::from(!recent));
     }
-    let packet = search.probe(&agents).map(<[u8]>::to_vec);
-    self.searches.insert(flow, search);
-    if let (Some(packet), false) = (packet, agents.is_empty()) {
+    if !agents.is_empty()
+      && let Some(packet) = search.probe(&agents)
+    {
       self.tried.insert(flow, now);
-      self.try_at(now, &agents, &packet, out);
+      self.try_at(now, &agents, packet, out);
     }
+    self.searches.insert(flow, search);
   }
 
   /// Has a packet tried at agents. Several are reached through one of them: a request of 900 bytes to 65
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -4,7 +4,8 @@
   crate::{
     plain::{Kind, Packet, Plain},
     support::{
-      Sent, Stepped, configured, flow, found, listed, news, peer, unlisted, unsure, upstream,
+      Sent, Stepped, agent_of, configured, flow, found, listed, news, peer, unlisted, unsure,
+      upstream,
     },
   },
   assert_matches::assert_matches,
@@ -43,32 +44,16 @@
 
 /// An agent that knows the list, and whose upstream has opened a flow with sequence number 100.
 fn with_flow(first_start: bool) -> (Agent, Flow) {
-  let mut agent = Stepped::agent(9, "a", first_start);
-  let records = [
-    configured(1, 1, &[(1, "a")]),
-    listed(2, "up", 9, "a", Presence::Live),
-  ];
-  agent.platform(news(None, 2, &records));
+  let mut agent = agent_of(first_start);
   let flow = flow(40_001, 1);
   let sent = deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
   assert_eq!(sent, [Sent::Upstream(Packet::open(flow, 0))]);
-  agent.packet(answer(flow, 100));
+  agent.packet(Packet::answer(flow, 100));
   let sent = deliver(&mut agent, Purpose::Deliver, Packet::data(flow, 2, 101));
   assert_eq!(sent, [Sent::Upstream(Packet::data(flow, 2, 101))]);
   (agent, flow)
 }
 
-fn answer(flow: Flow, sequence: u32) -> Packet {
-  Packet {
-    acknowledges: 1,
-    data: 0,
-    flow,
-    kind: Kind::Open,
-    returned: false,
-    sequence,
-  }
-}
-
 fn absent(flow: Flow, complete: Revision) -> Frame {
   Frame::Absent {
     flows: vec![flow],
@@ -80,13 +65,6 @@
   }
 }
 
-fn returned(packet: Packet) -> Packet {
-  Packet {
-    returned: true,
-    ..packet
-  }
-}
-
 fn is_told(sent: &[Sent], expected: &Frame) -> bool {
   sent.iter().any(
     |sent| matches!(sent, Sent::Frame(to, frame, _) if *to == peer(BALANCER) && frame == expected),
@@ -98,9 +76,9 @@
   let mut agent = Stepped::agent(9, "a", true);
   let flow = flow(40_001, 1);
   deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
-  let sent = agent.packet(answer(flow, 100));
+  let sent = agent.packet(Packet::answer(flow, 100));
   assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(opened, _), _) if *opened == flow);
-  assert_eq!(sent[1], Sent::Caller(answer(flow, 100)));
+  assert_eq!(sent[1], Sent::Caller(Packet::answer(flow, 100)));
 }
 
 #[test]
@@ -108,7 +86,7 @@
   let mut agent = Stepped::agent(9, "a", true);
   let flow = flow(40_001, 1);
   deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
-  agent.packet(answer(flow, 100));
+  agent.packet(Packet::answer(flow, 100));
   let sent = deliver(&mut agent, Purpose::Deliver, Packet::data(flow, 2, 777));
   assert!(is_told(&sent, &absent(flow, NOTHING)), "{sent:?}");
   assert!(!sent.iter().any(|sent| matches!(sent, Sent::Upstream(_))));
@@ -187,7 +165,7 @@
   assert_eq!(sent, [Sent::Upstream(packet)]);
   // One packet is enough.
   assert_eq!(deliver(&mut agent, Purpose::Test, packet), []);
-  let sent = agent.packet(returned(packet));
+  let sent = agent.packet(packet.returned());
   assert_eq!(sent, [Sent::Frame(peer(1), absent(flow, NOTHING), vec![])]);
   // It is not asked again: each packet counts as a stray there.
   let sent = deliver(&mut agent, Purpose::Test, packet);
@@ -231,7 +209,7 @@
   let mut agent = Stepped::agent(9, "a", true);
   let flow = flow(40_001, 1);
   deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
-  agent.packet(answer(flow, 100));
+  agent.packet(Packet::answer(flow, 100));
   let sent = ask(&mut agent, &[flow], 101, "a");
   assert!(is_told(&sent, &found(flow)), "{sent:?}");
   let sent = ask(&mut agent, &[flow], 777, "a");
@@ -289,7 +267,7 @@
   // While it tries one, it says nothing; then what it has found.
   deliver(&mut agent, Purpose::Test, Packet::data(flow, 5, 6));
   assert_eq!(ask(&mut agent, &[flow], 6, "a"), []);
-  agent.packet(returned(Packet::data(flow, 5, 6)));
+  agent.packet(Packet::data(flow, 5, 6).returned());
   let sent = ask(&mut agent, &[flow], 6, "a");
   assert!(is_told(&sent, &absent(flow, NOTHING)), "{sent:?}");
 }
@@ -315,7 +293,7 @@
   let (mut agent, flow) = with_flow(true);
   let packet = Packet::data(flow, 3, 101);
   deliver(&mut agent, Purpose::Deliver, packet);
-  let sent = agent.packet(returned(packet));
+  let sent = agent.packet(packet.returned());
   let back = packet.write();
   let lost = Frame::Absent {
     flows: vec![flow],
@@ -333,7 +311,7 @@
   let mut agent = Stepped::agent(9, "a", true);
   let flow = flow(40_001, 1);
   deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
-  let sent = agent.packet(returned(Packet::open(flow, 0)));
+  let sent = agent.packet(Packet::open(flow, 0).returned());
   assert_matches!(
     &sent[..],
     [Sent::Frame(_, Frame::Refused(_, Refusal::Full, _), _)]
@@ -376,7 +354,7 @@
   let (mut before, _) = with_flow(true);
   let late = crate::support::flow(40_002, 1);
   deliver(&mut before, Purpose::Open, Packet::open(late, 0));
-  before.packet(answer(late, 300));
+  before.packet(Packet::answer(late, 300));
   before.step(Event::Stop);
   deliver(&mut before, Purpose::Deliver, Packet::data(late, 2, 301));
   let mut next = restarted(&mut before);
@@ -390,7 +368,7 @@
   let (mut before, _) = with_flow(true);
   let half = crate::support::flow(40_002, 1);
   deliver(&mut before, Purpose::Open, Packet::open(half, 0));
-  before.packet(answer(half, 300));
+  before.packet(Packet::answer(half, 300));
   let mut next = restarted(&mut before);
   let elsewhere = deliver(&mut next, Purpose::Deliver, Packet::data(half, 2, 777));
   assert!(is_told(&elsewhere, &absent(half, NOTHING)), "{elsewhere:?}");
@@ -432,7 +410,7 @@
 fn a_late_copy_of_an_opening_packet_leaves_its_flow_open() {
   let (mut agent, flow) = with_flow(true);
   deliver(&mut agent, Purpose::Open, Packet::open(flow, 2));
-  agent.packet(answer(flow, 100));
+  agent.packet(Packet::answer(flow, 100));
   // Its caller has had an answer since, and acknowledges more.
   let packet = Packet::data(flow, 3, 111);
   let sent = deliver(&mut agent, Purpose::Deliver, packet);
@@ -443,7 +421,7 @@
 fn a_late_copy_that_the_upstream_does_not_take_leaves_its_flow_open() {
   let (mut agent, flow) = with_flow(true);
   deliver(&mut agent, Purpose::Open, Packet::open(flow, 2));
-  let sent = agent.packet(returned(Packet::open(flow, 2)));
+  let sent = agent.packet(Packet::open(flow, 2).returned());
   let refused = |sent: &Sent| matches!(sent, Sent::Frame(_, Frame::Refused(..), _));
   assert!(!sent.iter().any(refused), "{sent:?}");
   let packet = Packet::data(flow, 3, 111);
@@ -504,7 +482,7 @@
   let told = |agent: &mut Agent| {
     let other = crate::support::flow(40_002, 1);
     deliver(agent, Purpose::Open, Packet::open(other, 0));
-    let sent = agent.packet(answer(other, 500));
+    let sent = agent.packet(Packet::answer(other, 500));
     let Some(Sent::Frame(_, Frame::Opened(_, load), _)) = sent.first() else {
       panic!("{sent:?}");
     };
@@ -533,7 +511,7 @@
   agent.packet(Packet::data(flow, 101, 50));
   let other = crate::support::flow(40_002, 1);
   deliver(&mut agent, Purpose::Open, Packet::open(other, 0));
-  let sent = agent.packet(answer(other, 500));
+  let sent = agent.packet(Packet::answer(other, 500));
   assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(_, load), _) if load.service_ms == 7);
 }
 
@@ -546,7 +524,7 @@
   }
   let other = crate::support::flow(40_002, 1);
   deliver(&mut agent, Purpose::Open, Packet::open(other, 0));
-  let sent = agent.packet(answer(other, 500));
+  let sent = agent.packet(Packet::answer(other, 500));
   // The new flow's own request is about to come.
   assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(_, load), _) if load.work == 1);
 }
@@ -556,13 +534,13 @@
   let mut agent = Stepped::agent(9, "a", true);
   let opened = agent.now;
   deliver(&mut agent, Purpose::Open, Packet::open(flow(40_001, 1), 0));
-  agent.packet(answer(flow(40_001, 1), 100));
+  agent.packet(Packet::answer(flow(40_001, 1), 100));
   // Nothing else is due sooner once the load has been told.
   agent.pass(Duration::from_millis(120));
   assert!(agent.machine.deadline() <= opened + Duration::from_millis(300));
   agent.pass(Duration::from_millis(180));
   deliver(&mut agent, Purpose::Open, Packet::open(flow(40_002, 1), 0));
-  let sent = agent.packet(answer(flow(40_002, 1), 500));
+  let sent = agent.packet(Packet::answer(flow(40_002, 1), 500));
   assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(_, load), _) if load.work == 1);
 }
 
@@ -573,7 +551,7 @@
   let flows = [1, 2, 3].map(|port| flow(port, 1));
   for flow in flows {
     deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
-    agent.packet(answer(flow, 100));
+    agent.packet(Packet::answer(flow, 100));
     deliver(&mut agent, Purpose::Deliver, Packet::data(flow, 2, 101));
   }
   agent.now += Duration::from_millis(60);
@@ -581,7 +559,7 @@
     agent.packet(Packet::data(flow, 101, 3));
   }
   deliver(&mut agent, Purpose::Open, Packet::open(flow(4, 1), 0));
-  let sent = agent.packet(answer(flow(4, 1), 100));
+  let sent = agent.packet(Packet::answer(flow(4, 1), 100));
   // Not 20 ms, as if the third had waited behind the others.
   assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(_, load), _) if load.service_ms == 0);
 }
@@ -591,7 +569,7 @@
   let (mut agent, _) = with_flow(true);
   for port in 1..=40 {
     deliver(&mut agent, Purpose::Open, Packet::open(flow(port, 1), 0));
-    agent.packet(answer(flow(port, 1), 100));
+    agent.packet(Packet::answer(flow(port, 1), 100));
     agent.pass(Duration::from_millis(10));
     deliver(
       &mut agent,
@@ -602,7 +580,7 @@
   }
   let work = |agent: &mut Agent, port| {
     deliver(agent, Purpose::Open, Packet::open(flow(port, 1), 0));
-    let sent = agent.packet(answer(flow(port, 1), 100));
+    let sent = agent.packet(Packet::answer(flow(port, 1), 100));
     let Some(Sent::Frame(_, Frame::Opened(_, load), _)) = sent.first() else {
       panic!("{sent:?}");
     };
@@ -619,15 +597,10 @@
 
 #[test]
 fn an_opening_packet_that_is_late_does_not_hide_a_flow_of_the_run_before() {
-  let mut agent = Stepped::agent(9, "a", false);
-  let records = [
-    configured(1, 1, &[(1, "a")]),
-    listed(2, "up", 9, "a", Presence::Live),
-  ];
-  agent.platform(news(None, 2, &records));
+  let mut agent = agent_of(false);
   let flow = flow(40_001, 1);
   deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
-  agent.packet(answer(flow, 100));
+  agent.packet(Packet::answer(flow, 100));
   // Its caller has acknowledged another answer, of this upstream or of another one.
   let sent = ask(&mut agent, &[flow], 501, "a");
   assert!(is_told(&sent, &unsure(flow)), "{sent:?}");
@@ -643,13 +616,13 @@
   let mut agent = Stepped::agent(9, "a", false);
   let flow = flow(40_001, 1);
   deliver(&mut agent, Purpose::Open, Packet::open(flow, 0));
-  agent.packet(answer(flow, 100));
+  agent.packet(Packet::answer(flow, 100));
   let packet = Packet::data(flow, 2, 501);
   deliver(&mut agent, Purpose::Test, packet);
-  agent.packet(returned(packet));
+  agent.packet(packet.returned());
   let other = crate::support::flow(40_002, 1);
   deliver(&mut agent, Purpose::Open, Packet::open(other, 0));
-  let sent = agent.packet(answer(other, 100));
+  let sent = agent.packet(Packet::answer(other, 100));
   assert_matches!(&sent[0], Sent::Frame(_, Frame::Opened(_, load), _) if load.work == 1);
 }
 
@@ -671,7 +644,7 @@
   ) {
     return false;
   }
-  agent.packet(answer(flow, 100));
+  agent.packet(Packet::answer(flow, 100));
   deliver(agent, Purpose::Deliver, Packet::data(flow, 2, 101));
   true
 }
--- a/tests/datagram/plain.rs
+++ b/tests/datagram/plain.rs
@@ -60,6 +60,26 @@
     }
   }
 
+  /// An upstream's answer to an opening packet.
+  pub fn answer(flow: Flow, sequence: u32) -> Self {
+    Self {
+      acknowledges: 1,
+      data: 0,
+      flow,
+      kind: Kind::Open,
+      returned: false,
+      sequence,
+    }
+  }
+
+  /// The packet as an upstream sends it back.
+  pub fn returned(self) -> Self {
+    Self {
+      returned: true,
+      ..self
+    }
+  }
+
   /// The bytes.
   pub fn write(&self) -> Vec<u8> {
     postcard::to_allocvec(self).expect("packet")
--- a/tests/datagram/reborn.rs
+++ b/tests/datagram/reborn.rs
@@ -70,12 +70,7 @@
     &carry(Purpose::Open),
     &Packet::open(flow(1, 1), 0).write(),
   );
-  let answer = Packet {
-    acknowledges: 1,
-    sequence: 100,
-    ..Packet::open(flow(1, 1), 0)
-  };
-  agent.packet(answer);
+  agent.packet(Packet::answer(flow(1, 1), 100));
   let request = Packet::data(flow(1, 1), 2, 101);
   agent.frame(1, &carry(Purpose::Deliver), &request.write());
   agent
@@ -105,11 +100,7 @@
 #[test]
 fn a_flow_that_its_upstream_has_forgotten_is_said_to_be_lost() {
   let mut agent = with_flow();
-  let returned = Packet {
-    returned: true,
-    ..Packet::data(flow(1, 1), 2, 101)
-  };
-  let sent = agent.packet(returned);
+  let sent = agent.packet(Packet::data(flow(1, 1), 2, 101).returned());
   assert_matches!(
     &sent[..],
     [Sent::Frame(_, Frame::Absent { lost: true, .. }, _)]
@@ -126,11 +117,7 @@
   agent.frame(1, &held, &[]);
   let packet = Packet::data(flow(1, 1), 2, 101);
   agent.frame(1, &carry(Purpose::Deliver), &packet.write());
-  let returned = Packet {
-    returned: true,
-    ..packet
-  };
-  let sent = agent.packet(returned);
+  let sent = agent.packet(packet.returned());
   assert_matches!(
     &sent[..],
     [Sent::Frame(_, Frame::Absent { lost: false, .. }, _)]
@@ -140,17 +127,8 @@
 #[test]
 fn a_flow_that_another_opening_packet_began_anew_is_not_said_to_be_lost() {
   let mut agent = with_flow();
-  let answer = Packet {
-    acknowledges: 1,
-    sequence: 7000,
-    ..Packet::open(flow(1, 1), 0)
-  };
-  agent.packet(answer);
-  let returned = Packet {
-    returned: true,
-    ..Packet::data(flow(1, 1), 2, 101)
-  };
-  let sent = agent.packet(returned);
+  agent.packet(Packet::answer(flow(1, 1), 7000));
+  let sent = agent.packet(Packet::data(flow(1, 1), 2, 101).returned());
   assert_matches!(
     &sent[..],
     [Sent::Frame(_, Frame::Absent { lost: false, .. }, _)]
--- a/tests/datagram/searching.rs
+++ b/tests/datagram/searching.rs
@@ -341,3 +341,22 @@
   assert!(delivered > 4_000_000, "delivered {delivered}");
   assert!(delivered < 4_300_000, "delivered {delivered}");
 }
+
+#[test]
+fn the_smallest_packet_that_has_come_by_then_is_tried() {
+  let mut balancer = balancer();
+  let (large, small) = (
+    Packet::data(flow(1, 1), 1 << 30, 100),
+    Packet::data(flow(1, 1), 3, 100),
+  );
+  balancer.packet(large);
+  // All are asked; nobody has said that it cannot say.
+  balancer.pass(Duration::from_millis(60));
+  balancer.packet(small);
+  let sent = balancer.frame(12, &unsure(flow(1, 1)), &[]);
+  let packets = sent.iter().filter_map(|sent| match sent {
+    Sent::Frame(_, Frame::Carry { .. }, packet) => Some(packet.clone()),
+    _ => None,
+  });
+  assert_eq!(packets.collect::<Vec<_>>(), [small.write()]);
+}
--- a/tests/datagram/support.rs
+++ b/tests/datagram/support.rs
@@ -219,7 +219,12 @@
 
 /// An agent whose upstream has 4 slots and nothing to do; it knows the list up to revision 2.
 pub fn agent() -> Agent {
-  let mut agent = Stepped::agent(9, "a", true);
+  agent_of(true)
+}
+
+/// The same; `first_start` when it cannot meet older flows.
+pub fn agent_of(first_start: bool) -> Agent {
+  let mut agent = Stepped::agent(9, "a", first_start);
   let records = [
     configured(1, 1, &[(1, "a")]),
     listed(2, "up", 9, "a", Presence::Live),
--- a/tests/datagram/trying.rs
+++ b/tests/datagram/trying.rs
@@ -3,19 +3,39 @@
 use {
   crate::{
     plain::{Kind, Packet},
-    support::{Sent, Stepped, agent, configured, digest, flow, listed, news, peer},
+    support::{Agent, Sent, Stepped, agent, agent_of, carry, digest, flow, peer},
   },
   assert_matches::assert_matches,
   fallwell::{
     Revision,
-    config::Presence,
-    datagram::{Frame, Version, frame::fan_max, service::Digest},
+    datagram::{
+      Frame, Machine, Version,
+      frame::{Purpose, fan_max},
+      service::Digest,
+    },
   },
+  std::time::Duration,
 };
 
 /// The balancer that wants to know.
 const BALANCER: u8 = 1;
 
+/// An agent that may have met flows before it started.
+fn started_again() -> Agent {
+  agent_of(false)
+}
+
+/// An upstream's reset of the flow of a caller's packet.
+fn reset_of(packet: Packet) -> Packet {
+  Packet {
+    acknowledges: packet.sequence,
+    data: 0,
+    kind: Kind::Reset,
+    sequence: packet.acknowledges,
+    ..packet
+  }
+}
+
 fn attempt(service: &str) -> Frame {
   Frame::Try {
     balancer: peer(BALANCER),
@@ -45,21 +65,11 @@
 
 #[test]
 fn a_packet_that_was_sent_on_is_tried_and_the_balancer_is_told() {
-  // It has just started and may have met the flow before.
-  let mut agent = Stepped::agent(9, "a", false);
-  let records = [
-    configured(1, 1, &[(1, "a")]),
-    listed(2, "up", 9, "a", Presence::Live),
-  ];
-  agent.platform(news(None, 2, &records));
+  let mut agent = started_again();
   let packet = Packet::data(flow(1, 1), 2, 101);
   let sent = agent.frame(8, &attempt("a"), &packet.write());
   assert_eq!(sent, [Sent::Upstream(packet)]);
-  let returned = Packet {
-    returned: true,
-    ..packet
-  };
-  let sent = agent.packet(returned);
+  let sent = agent.packet(packet.returned());
   assert_matches!(
     &sent[..],
     [Sent::Frame(back, Frame::Absent { .. }, _)] if *back == peer(BALANCER)
@@ -95,22 +105,10 @@
 
 #[test]
 fn a_reset_by_an_upstream_that_is_only_tried_does_not_reach_the_caller() {
-  let mut agent = Stepped::agent(9, "a", false);
-  let records = [
-    configured(1, 1, &[(1, "a")]),
-    listed(2, "up", 9, "a", Presence::Live),
-  ];
-  agent.platform(news(None, 2, &records));
+  let mut agent = started_again();
   let packet = Packet::data(flow(1, 1), 2, 101);
   agent.frame(8, &attempt("a"), &packet.write());
-  let reset = Packet {
-    acknowledges: 2,
-    data: 0,
-    kind: Kind::Reset,
-    sequence: 101,
-    ..packet
-  };
-  let sent = agent.packet(reset);
+  let sent = agent.packet(reset_of(packet));
   assert_matches!(
     &sent[..],
     [Sent::Frame(back, Frame::Absent { lost: false, .. }, _)] if *back == peer(BALANCER)
@@ -124,10 +122,20 @@
     flows: vec![flow(1, 1)],
   };
   agent.frame(BALANCER, &held, &[]);
-  let reset = Packet {
-    data: 0,
-    kind: Kind::Reset,
-    ..Packet::data(flow(1, 1), 2, 101)
-  };
+  let reset = reset_of(Packet::data(flow(1, 1), 2, 101));
   assert_eq!(agent.packet(reset), [Sent::Caller(reset)]);
 }
+
+#[test]
+fn a_flow_whose_try_was_reset_counts_as_work_no_more() {
+  let mut agent = started_again();
+  // A late opening packet, and then a packet of a flow that the run before may have had.
+  let open = Packet::open(flow(1, 1), 2);
+  agent.frame(BALANCER, &carry(Purpose::Open), &open.write());
+  let packet = Packet::data(flow(1, 1), 2, 101);
+  agent.frame(BALANCER, &attempt("a"), &packet.write());
+  agent.packet(reset_of(packet));
+  agent.pass(Duration::from_secs(1));
+  let state = agent.machine.dump(agent.now);
+  assert_eq!(state["load"]["work"], 0);
+}
