Place, carry and expire through one piece each

Reading the change once more; no decision changes. place_next looked for a flow's service and place looked again: both go through place_at. A packet for the upstream is read by one piece whether it came alone, to be sent on or sent on already (try_for and its pair of numbers are gone; a packet that cannot be read is now refused before any of it is sent on). Former services and past targets are kept for one time, by one constant.

--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -50,11 +50,11 @@
 
 /// Decides which packets reach an agent's upstream, and sends the upstream's to the callers.
 pub struct Machine<C> {
-  /// Which run of the upstream the list names.
-  pub(super) born: Option<Born>,
   /// How long callers take from an opening packet to their first request. Some have gone: an idle
   /// place was kept for each of them for 0.3 s.
   pub(super) arrival: Patience,
+  /// Which run of the upstream the list names.
+  pub(super) born: Option<Born>,
   /// From when on the data centre is closed to new flows.
   pub(super) closed: Option<Instant>,
   pub(super) codec: C,
@@ -157,28 +157,26 @@
         service,
         version,
       } => {
-        let head = self.codec.read_from_caller(packet)?;
-        let carried = Carried {
-          complete,
-          from,
-          head,
-          packet,
-          purpose,
-          version,
-        };
+        let carried = self.carried(from, packet, purpose, complete, version)?;
         self.carry(now, &carried, service, out)
       }
       Frame::Fan {
         agents,
         complete,
         version,
-      } => self.fan_out(now, from, &agents, (complete, version), packet, out),
+      } => {
+        let carried = self.carried(from, packet, Purpose::Test, complete, version)?;
+        self.fan_out(now, &carried, &agents, out)
+      }
       Frame::Try {
         balancer,
         complete,
         service,
         version,
-      } => self.try_for(now, balancer, service, (complete, version), packet, out),
+      } => {
+        let carried = self.carried(balancer, packet, Purpose::Test, complete, version)?;
+        self.carry(now, &carried, service, out)
+      }
       Frame::Handover { flows, part, parts } => {
         self.handed(now, from, flows, part, parts);
         Ok(())
@@ -199,6 +197,25 @@
     }
   }
 
+  /// What came with a caller's packet that is meant for the upstream.
+  fn carried<'a>(
+    &self,
+    from: SocketAddrV4,
+    packet: &'a [u8],
+    purpose: Purpose,
+    complete: Revision,
+    version: Version,
+  ) -> Result<Carried<'a>, Code> {
+    Ok(Carried {
+      complete,
+      from,
+      head: self.codec.read_from_caller(packet)?,
+      packet,
+      purpose,
+      version,
+    })
+  }
+
   pub(super) fn take_news(&mut self, now: Instant, origin: Origin, news: News, out: &mut Outbox) {
     let first = self.spread.catalog().complete() == Revision::default();
     let change = self.spread.news(now, origin, news, out);
@@ -227,12 +244,10 @@
       log::info!(target:% = id, leaving = leaving; "agent: the list says whether it leaves.");
       self.leaving = leaving;
     }
-    if born > self.born {
-      let first = self.born.is_none();
-      self.born = born;
-      if !first {
-        self.reborn();
-      }
+    let before = self.born;
+    self.born = born.max(before);
+    if before.is_some() && self.born > before {
+      self.reborn();
     }
   }
 
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -79,12 +79,12 @@
     Some(taking.unwrap_or(first).service.clone())
   }
 
-  /// Sends an opening packet to the best target of its service that was not tried, else to the best.
+  /// Sends an opening packet to its service.
   pub(super) fn place(
     &mut self,
     now: Instant,
     flow: Flow,
-    mut opening: Opening,
+    opening: Opening,
     out: &mut Outbox,
   ) -> Result<(), Code> {
     let Some(service) = self.destination(now, &flow) else {
@@ -92,7 +92,18 @@
       self.give_up(now, &flow, &opening, out);
       return Err(Code::PacketUnroutable);
     };
-    let service = &service;
+    self.place_at(now, flow, &service, opening, out)
+  }
+
+  /// Sends an opening packet to the best target of a service that was not tried, else to the best.
+  fn place_at(
+    &mut self,
+    now: Instant,
+    flow: Flow,
+    service: &Service,
+    mut opening: Opening,
+    out: &mut Outbox,
+  ) -> Result<(), Code> {
     let mut choice = self.choose(now, &flow, service, &opening.tried);
     if choice.is_none() && !opening.tried.is_empty() {
       opening.tried.clear();
@@ -223,7 +234,7 @@
       }
       return;
     }
-    if let Err(code) = self.place(now, flow, opening, out) {
+    if let Err(code) = self.place_at(now, flow, &service, opening, out) {
       self.counter.count(code);
     }
   }
--- a/src/datagram/catalog.rs
+++ b/src/datagram/catalog.rs
@@ -13,7 +13,8 @@
   },
 };
 
-/// How long a target that has left the list is remembered. Its flows may live for as long.
+/// How long a target that has left the list, and a service that an address led to, is remembered. Its
+/// flows may live for as long.
 const GONE_KEPT: Duration = Duration::from_secs(75);
 
 /// A target, or what is remembered of it.
@@ -96,7 +97,7 @@
 
   /// Forgets targets that left long ago.
   pub fn expire(&mut self, now: Instant) {
-    self.former.expire(now);
+    self.former.expire(now, GONE_KEPT);
     let removals_from = &mut self.removals_from;
     self.targets.retain(|_, entry| {
       let kept = |gone| now.saturating_duration_since(gone) < GONE_KEPT;
--- a/src/datagram/former.rs
+++ b/src/datagram/former.rs
@@ -7,9 +7,6 @@
   },
 };
 
-/// How long a service that an address no longer leads to is remembered: its flows may live as long.
-const KEPT: Duration = Duration::from_secs(75);
-
 /// A service that an address led to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct Left {
@@ -31,10 +28,10 @@
     addresses.flat_map(|(address, left)| left.iter().map(|left| (*address, &left.service, left.at)))
   }
 
-  /// Forgets what was left before the oldest flow began.
-  pub fn expire(&mut self, now: Instant) {
+  /// Forgets what was left longer ago than flows live.
+  pub fn expire(&mut self, now: Instant, life: Duration) {
     self.by_address.retain(|_, left| {
-      left.retain(|left| now.saturating_duration_since(left.at) < KEPT);
+      left.retain(|left| now.saturating_duration_since(left.at) < life);
       !left.is_empty()
     });
   }
