--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -26,6 +26,7 @@
 mod load;
 pub mod node;
 mod outbox;
+mod overload;
 mod rate;
 mod record;
 /// Names of services, and their digests.
@@ -51,6 +52,7 @@
   head::Head,
   load::Load,
   outbox::{Datagram, Outbox, Via},
+  overload::Overload,
   rate::{Rate, RateInvalid},
   record::{Delta, Record, Update},
   service::Service,
--- a/src/datagram/agent/work.rs
+++ b/src/datagram/agent/work.rs
@@ -173,7 +173,7 @@
     self.in_flight
   }
 
-  /// The load that is reported to balancers, without its `room`; `flows` is the number of known
+  /// The load that is reported to balancers, without its `room` and `waiting`; `flows` is the number of known
   /// flows.
   pub fn load(&self, now: Instant, flows: usize) -> Load {
     let down = self
@@ -186,6 +186,7 @@
       flows: flows.min(usize::from(u16::MAX)) as u16,
       room: None,
       service_ms: to_count(self.service_ms) as u16,
+      waiting: 0,
       work: self.in_flight,
     }
   }
--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -8,6 +8,7 @@
 mod ending;
 mod evacuations;
 mod frames;
+mod granted;
 mod history;
 mod machine;
 mod opening;
--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -9,12 +9,9 @@
   },
   crate::{
     Code,
-    datagram::{Codec, Flow, Frame, Load, Outbox, Service},
-  },
-  std::{
-    net::SocketAddrV4,
-    time::{Duration, Instant},
+    datagram::{Codec, Flow, Outbox, Service},
   },
+  std::time::{Duration, Instant},
 };
 
 /// The longest time that a target's answer takes to reach the caller if neither is busy.
@@ -111,7 +108,12 @@
   /// The flow of a class to be sent to a target first: the newest if it is answered in time there.
   /// Otherwise all are late, and it is the oldest one whose caller is certain to be still waiting,
   /// or else the newest.
-  fn most_urgent(&self, now: Instant, class: &FlowClass, choice: &Choice) -> Option<Queued> {
+  pub(super) fn most_urgent(
+    &self,
+    now: Instant,
+    class: &FlowClass,
+    choice: &Choice,
+  ) -> Option<Queued> {
     let newest = self.queue.newest(class)?;
     if self.is_in_time(now, newest, choice) {
       return Some(newest);
@@ -132,7 +134,7 @@
 
   /// Sends a queued flow to a target; false if its route no longer includes the service. It is then
   /// placed anew, or given up if its route was removed.
-  fn send_queued(
+  pub(super) fn send_queued(
     &mut self,
     now: Instant,
     class: &FlowClass,
@@ -161,76 +163,8 @@
     true
   }
 
-  /// Uses a slot that an agent has reserved for a queued flow, or returns it if it cannot be
-  /// used.
-  pub(super) fn accept_grant(
-    &mut self,
-    now: Instant,
-    from: SocketAddrV4,
-    load: Load,
-    out: &mut Outbox,
-  ) {
-    self.targets.record_load(now, from, load);
-    let Some(service) = self.targets.service(from).cloned() else {
-      return;
-    };
-    if self.targets.serves(now, from) && self.use_grant(now, from, &service, out) {
-      return;
-    }
-    let frame = Frame::Backlog {
-      flows: 0,
-      service: service.digest(),
-    };
-    out.frame(from, &frame, &[]);
-  }
-
-  /// Sends a queued flow to a target that has reserved a slot; false if none is queued.
-  fn use_grant(
-    &mut self,
-    now: Instant,
-    agent: SocketAddrV4,
-    service: &Service,
-    out: &mut Outbox,
-  ) -> bool {
-    let Some(choice) = self.targets.choice(agent) else {
-      return false;
-    };
-    let choice = Choice {
-      is_granted: true,
-      ..choice
-    };
-    for class in self.queue.classes(service) {
-      self.expire_queued(now, &class, out);
-      while let Some(queued) = self.most_urgent(now, &class, &choice) {
-        if self.send_queued(now, &class, queued, choice, out) {
-          return true;
-        }
-      }
-    }
-    false
-  }
-
-  /// Sends the length of a service's queue to its agents, which reserve slots then.
-  fn announce(&mut self, now: Instant, service: &Service, out: &mut Outbox) {
-    let flows = self.queue.len(service);
-    if flows == 0 {
-      self.announced.remove(service);
-      return;
-    }
-    if !self.announced.is_due(now, service, flows) {
-      return;
-    }
-    let frame = Frame::Backlog {
-      flows: flows.min(usize::from(u16::MAX)) as u16,
-      service: service.digest(),
-    };
-    for agent in self.targets.serving(now, service) {
-      out.frame(agent, &frame, &[]);
-    }
-  }
-
   /// The opening packet of a queued flow; none if it is not queued.
-  fn queued_opening(&self, flow: &Flow) -> Option<&Opening> {
+  pub(super) fn queued_opening(&self, flow: &Flow) -> Option<&Opening> {
     match &self.flows.get(flow)?.state {
       State::Queued(_, opening) => Some(opening),
       _ => None,
@@ -250,7 +184,7 @@
 
   /// Gives up flows whose callers would give up before an answer reached them, and all flows of a
   /// service whose data centres are all closed.
-  fn expire_queued(&mut self, now: Instant, class: &FlowClass, out: &mut Outbox) {
+  pub(super) fn expire_queued(&mut self, now: Instant, class: &FlowClass, out: &mut Outbox) {
     let ttl = if self.targets.all_closed(now, &class.service) {
       Duration::ZERO
     } else {
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -6,7 +6,7 @@
 };
 
 /// The first byte of a frame: the version of its layout.
-const VERSION: u8 = 0xd4;
+const VERSION: u8 = 0xd5;
 
 /// The largest update that is pushed as a frame, in bytes: it fits in a datagram of 1,500 bytes.
 pub const UPDATE_MAX: usize = 1200;
--- a/src/datagram/load.rs
+++ b/src/datagram/load.rs
@@ -15,6 +15,9 @@
   pub room: Option<u16>,
   /// The time to process a request that isn't queued, in milliseconds; 0 if unknown.
   pub service_ms: u16,
+  /// The number of flows that are queued in all balancers for the upstream's service, as known to its
+  /// agent.
+  pub waiting: u16,
   /// The number of requests in flight at the upstream.
   pub work: u16,
 }
--- a/src/datagram/node/run.rs
+++ b/src/datagram/node/run.rs
@@ -9,7 +9,7 @@
     Code,
     code::Fault,
     counter::Counter,
-    datagram::{Codec, Machine, Settings, Tuning, Upstream, agent, balancer},
+    datagram::{Codec, Machine, Settings, Upstream, agent, balancer},
     logging,
     process::{Process, Signal},
   },
@@ -72,7 +72,7 @@
   reload: impl Fn() -> Result<Settings, Fault>,
 ) -> Result<(), Fault> {
   let counter = Arc::new(Counter::default());
-  let (now, tuning, incarnation) = (Instant::now(), Tuning::default(), rand::random());
+  let (now, tuning, incarnation) = (Instant::now(), settings.tuning(), rand::random());
   let counts = Arc::clone(&counter);
   let program = Program {
     counter,
@@ -95,7 +95,7 @@
   reload: impl Fn() -> Result<Settings, Fault>,
 ) -> Result<(), Fault> {
   let counter = Arc::new(Counter::default());
-  let (now, tuning, incarnation) = (Instant::now(), Tuning::default(), rand::random());
+  let (now, tuning, incarnation) = (Instant::now(), settings.tuning(), rand::random());
   let counts = Arc::clone(&counter);
   let packets = upstream.outbound;
   let program = Program {
--- a/src/datagram/settings.rs
+++ b/src/datagram/settings.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Rate, Service},
+  super::{Overload, Rate, Service},
   crate::{
     code::{Code, Fault},
     logging,
@@ -31,6 +31,8 @@
   pub link: Option<Rate>,
   /// The log's format and level.
   pub log: logging::Settings,
+  /// How new flows are handled while targets can't serve all of them in time.
+  pub overload: Overload,
   /// Where frames (UDP) and update requests (TCP) of peers arrive; the port is the same on all
   /// instances.
   pub peers: SocketAddrV4,
@@ -67,6 +69,7 @@
       first_start: false,
       link: None,
       log: logging::Settings::default(),
+      overload: Overload::default(),
       peers: local(7400),
       platform: local(7000),
       readiness: local(7401),
@@ -77,6 +80,14 @@
 }
 
 impl Settings {
+  /// The limits and intervals of the machines with these settings.
+  pub fn tuning(&self) -> Tuning {
+    Tuning {
+      overload: self.overload,
+      ..Tuning::default()
+    }
+  }
+
   /// Checks the values. Fails if a port that all instances share is 0.
   pub fn check(&self) -> Result<(), Fault> {
     if self.peers.port() == 0 || self.callers.port() == 0 {
@@ -122,6 +133,8 @@
   /// The shortest, and the initial, time that a target has to answer an opening packet before
   /// another is tried. A round trip between data centres takes 3 ms.
   pub open_wait: Duration,
+  /// How new flows are handled while targets can't serve all of them in time.
+  pub overload: Overload,
   /// How many balancers read the platform.
   pub readers: usize,
   /// The shortest interval between two load reports.
@@ -163,6 +176,7 @@
       flows_max: 200_000,
       idle: Duration::from_mins(1),
       open_wait: Duration::from_millis(40),
+      overload: Overload::default(),
       readers: 1,
       report: Duration::from_millis(100),
       search: Duration::from_millis(150),
