Add a queue that is fair between callers

Cause: the admission queue of a balancer and that of an agent both need to choose between callers; only the agent does, by scanning all requests.

Change: fair::Queue keeps entries by level (what their caller had queued or running when they came), and the callers by their number of entries.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod control;
 pub mod counter;
 pub mod datagram;
+pub mod fair;
 pub mod flow;
 pub mod id;
 pub mod ledger;
--- a/tests/machines/main.rs
+++ b/tests/machines/main.rs
@@ -4,6 +4,7 @@
 mod mesh;
 
 mod admission;
+mod fair;
 mod flow;
 mod gossip;
 mod ledger;
