--- a/src/fair/queue.rs
+++ b/src/fair/queue.rs
@@ -1,20 +1,32 @@
-use std::{
-  cmp::Reverse,
-  collections::{BTreeMap, BTreeSet, HashMap},
-  hash::Hash,
+use {
+  super::tree::Tree,
+  std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, btree_map::Entry},
+  },
 };
 
+/// The entries of one caller.
+#[derive(Clone, Copy, Debug)]
+struct Caller<T> {
+  last: T,
+  length: u32,
+}
+
 /// A queue of entries of several callers. The level of an entry is the number of entries that its
 /// caller had queued or running when it was inserted; entries of a lower level go first.
+///
+/// Each call takes O(log n). Memory follows the number of entries.
 #[derive(Clone, Debug)]
 pub struct Queue<C, T> {
-  /// The levels of all entries; the greatest entry of each caller is its first here.
-  by_caller: BTreeMap<(C, Option<Reverse<T>>), usize>,
+  /// The levels of all entries; the greatest entry of each caller is its first here. `None` is used
+  /// in the bounds of ranges only.
+  by_caller: BTreeMap<(C, Option<Reverse<T>>), u32>,
   /// The number of entries and the greatest entry of each caller.
-  by_length: BTreeSet<(usize, T, C)>,
-  /// All entries in their order. `None` is used in the bounds of ranges only.
-  by_level: BTreeSet<(usize, Option<T>, Option<C>)>,
-  lengths: HashMap<C, usize>,
+  by_length: BTreeSet<(u32, T, C)>,
+  by_level: Tree<C, T>,
+  /// The callers that have an entry. A hash table would keep the memory of its largest size.
+  callers: BTreeMap<C, Caller<T>>,
 }
 
 impl<C, T> Default for Queue<C, T> {
@@ -22,13 +34,13 @@
     Self {
       by_caller: BTreeMap::new(),
       by_length: BTreeSet::new(),
-      by_level: BTreeSet::new(),
-      lengths: HashMap::new(),
+      by_level: Tree::default(),
+      callers: BTreeMap::new(),
     }
   }
 }
 
-impl<C: Copy + Hash + Ord, T: Copy + Ord> Queue<C, T> {
+impl<C: Copy + Ord, T: Copy + Ord> Queue<C, T> {
   /// An empty queue.
   pub fn new() -> Self {
     Self::default()
@@ -36,7 +48,7 @@
 
   /// Whether no entry is queued.
   pub fn is_empty(&self) -> bool {
-    self.by_level.is_empty()
+    self.len() == 0
   }
 
   /// The number of entries.
@@ -46,69 +58,69 @@
 
   /// The number of callers that have an entry.
   pub fn callers(&self) -> usize {
-    self.lengths.len()
+    self.callers.len()
   }
 
   /// The number of entries of a caller.
   pub fn flows_of(&self, caller: C) -> usize {
-    self.lengths.get(&caller).copied().unwrap_or(0)
+    let caller = self.callers.get(&caller);
+    caller.map_or(0, |caller| caller.length as usize)
   }
 
   /// Adds an entry of a caller that has `running` entries elsewhere. An entry that the caller has
   /// already queued stays as it is.
   pub fn insert(&mut self, caller: C, running: usize, entry: T) {
-    let key = (caller, Some(Reverse(entry)));
-    if self.by_caller.contains_key(&key) {
+    let Entry::Vacant(vacant) = self.by_caller.entry((caller, Some(Reverse(entry)))) else {
       return;
-    }
-    let length = self.flows_of(caller);
+    };
+    let former = self.callers.get(&caller).copied();
+    let length = former.map_or(0, |former| former.length);
+    let running = u32::try_from(running).unwrap_or(u32::MAX);
     let level = running.saturating_add(length);
-    self.remove_length(caller);
-    self.by_caller.insert(key, level);
-    self.by_level.insert((level, Some(entry), Some(caller)));
-    self.add_length(caller, length + 1);
+    vacant.insert(level);
+    self.by_level.insert((level, entry, caller));
+    let last = former.map_or(entry, |former| former.last.max(entry));
+    let length = length + 1;
+    self.update(caller, former, Some(Caller { last, length }));
   }
 
   /// Removes an entry of a caller; false if it is not queued. The levels of others stay.
   pub fn remove(&mut self, caller: C, entry: &T) -> bool {
-    let key = (caller, Some(Reverse(*entry)));
-    let Some(level) = self.by_caller.get(&key).copied() else {
+    let Some(level) = self.by_caller.remove(&(caller, Some(Reverse(*entry)))) else {
       return false;
     };
-    let length = self.flows_of(caller);
-    self.remove_length(caller);
-    self.by_caller.remove(&key);
-    self.by_level.remove(&(level, Some(*entry), Some(caller)));
-    self.add_length(caller, length - 1);
+    self.by_level.remove(&(level, *entry, caller));
+    let former = self.callers.get(&caller).copied();
+    let rest = former
+      .filter(|former| former.length > 1)
+      .map(|former| Caller {
+        last: if former.last == *entry {
+          self.last_of(caller).unwrap_or(former.last)
+        } else {
+          former.last
+        },
+        length: former.length - 1,
+      });
+    self.update(caller, former, rest);
     true
   }
 
   /// The least entry of the lowest level.
   pub fn first(&self) -> Option<(C, T)> {
-    let (_, entry, caller) = *self.by_level.first()?;
-    caller.zip(entry)
+    let (_, entry, caller) = self.by_level.first()?;
+    Some((caller, entry))
   }
 
   /// The greatest entry of the lowest level.
   pub fn last(&self) -> Option<(C, T)> {
-    let (level, ..) = *self.by_level.first()?;
-    let (_, entry, caller) = *self.range_of(level, None).next_back()?;
-    caller.zip(entry)
+    let (_, entry, caller) = self.by_level.last()?;
+    Some((caller, entry))
   }
 
   /// The least entry that is not below `entry`, of the lowest level that has one.
   pub fn first_since(&self, entry: &T) -> Option<(C, T)> {
-    let mut next = self.by_level.first();
-    while let Some((level, ..)) = next {
-      if let Some((_, entry, caller)) = self.range_of(*level, Some(*entry)).next() {
-        return caller.zip(*entry);
-      }
-      next = self
-        .by_level
-        .range((level.checked_add(1)?, None, None)..)
-        .next();
-    }
-    None
+    let (_, entry, caller) = self.by_level.first_since(entry)?;
+    Some((caller, entry))
   }
 
   /// The greatest entry of the caller that has the most; of several such callers, of the one whose
@@ -118,42 +130,22 @@
     Some((caller, entry))
   }
 
-  /// The greatest entry of a caller.
-  pub fn last_of(&self, caller: C) -> Option<T> {
-    let ((found, entry), _) = self.by_caller.range((caller, None)..).next()?;
-    if *found != caller {
-      return None;
-    }
+  /// The greatest entry of a caller, found among its entries.
+  fn last_of(&self, caller: C) -> Option<T> {
+    let ((_, entry), _) = self.by_caller.range((caller, None)..).next()?;
     entry.map(|Reverse(entry)| entry)
   }
 
-  /// The entries of one level, from `since` on.
-  fn range_of(
-    &self,
-    level: usize,
-    since: Option<T>,
-  ) -> impl DoubleEndedIterator<Item = &(usize, Option<T>, Option<C>)> {
-    let start = (level, since, None);
-    match level.checked_add(1) {
-      Some(next) => self.by_level.range(start..(next, None, None)),
-      None => self.by_level.range(start..),
+  /// Replaces what is known of a caller.
+  fn update(&mut self, caller: C, former: Option<Caller<T>>, new: Option<Caller<T>>) {
+    if let Some(Caller { last, length }) = former {
+      self.by_length.remove(&(length, last, caller));
     }
-  }
-
-  fn add_length(&mut self, caller: C, length: usize) {
-    let Some(last) = self.last_of(caller) else {
+    let Some(new) = new else {
+      self.callers.remove(&caller);
       return;
     };
-    self.by_length.insert((length, last, caller));
-    self.lengths.insert(caller, length);
-  }
-
-  fn remove_length(&mut self, caller: C) {
-    let Some(length) = self.lengths.remove(&caller) else {
-      return;
-    };
-    if let Some(last) = self.last_of(caller) {
-      self.by_length.remove(&(length, last, caller));
-    }
+    self.by_length.insert((new.length, new.last, caller));
+    self.callers.insert(caller, new);
   }
 }
