Tell rejected requests different delays, and reject at once what cannot start

Cause: all callers were told the same Retry-After, so that they came back together and were rejected again.

Change: admission::Retry adds to the time in which the queue drains a service time for each request that was told and is expected back, spreads the sum over the drain by the caller's hash and rounds so that the mean stays. A caller that comes back when it was told takes a place among the returning ones only. A request that could not start before its deadline with half of the mean running time is rejected on arrival: the queue is played through with its own rules, unless a bound on the last start already shows that it starts. A rejected hand-off is not remembered, since the peer tells the caller.

--- a/src/admission/machine.rs
+++ b/src/admission/machine.rs
@@ -1,6 +1,6 @@
 use {
   super::{
-    Settings,
+    Retry, Settings,
     request::{Request, Ticket},
     scheduler::Scheduler,
   },
@@ -45,6 +45,7 @@
 pub struct Machine {
   /// The moving average of the running times.
   mean_run_time: Duration,
+  retry: Retry,
   scheduler: Scheduler,
   settings: Settings,
 }
@@ -54,6 +55,7 @@
   pub fn new(settings: Settings) -> Self {
     Self {
       mean_run_time: settings.initial_run_time,
+      retry: Retry::new(settings.spread),
       scheduler: Scheduler::default(),
       settings,
     }
@@ -86,6 +88,7 @@
       } => {
         let request = Request {
           caller,
+          returning: may_wait && self.retry.arrive(now, caller),
           start_by,
           ticket,
         };
@@ -95,7 +98,7 @@
       Event::Tick => {}
     }
     for expired in self.scheduler.dequeue_expired(now) {
-      actions.push(self.shed(expired));
+      actions.push(self.shed(now, expired));
     }
     self.start_queued(now, &mut actions);
     actions
@@ -107,11 +110,12 @@
       return;
     }
     if !may_wait {
-      actions.push(self.shed(new));
+      // The peer that handed it off tells the caller when to come back.
+      actions.push(Action::Shed(new.ticket, self.drain()));
       return;
     }
-    if new.start_by <= now {
-      actions.push(self.shed(new));
+    if new.start_by <= now || self.is_hopeless(now, new) {
+      actions.push(self.shed(now, new));
       return;
     }
     self.scheduler.enqueue(new);
@@ -120,10 +124,17 @@
       actions.push(Action::Wait(new.ticket));
     }
     if let Some(excess) = excess {
-      actions.push(self.shed(excess));
+      actions.push(self.shed(now, excess));
     }
   }
 
+  /// Whether a request cannot start before its deadline. Half of the mean is assumed of running
+  /// times, since a request that could have started must not be rejected by an estimate.
+  fn is_hopeless(&self, now: Instant, new: Request) -> bool {
+    let run_time = self.mean_run_time / 2;
+    !self.scheduler.would_start(now, new, self.slots(), run_time)
+  }
+
   /// When the queue is too long, removes the newest request of the caller that has the most queued.
   fn dequeue_excess(&mut self) -> Option<Request> {
     if self.scheduler.queued() <= self.slots() * self.settings.queue_per_slot {
@@ -155,15 +166,27 @@
     actions.push(Action::Start(request.ticket));
   }
 
-  fn shed(&self, request: Request) -> Action {
-    Action::Shed(request.ticket, self.retry_after())
+  fn shed(&mut self, now: Instant, request: Request) -> Action {
+    let Request {
+      caller, returning, ..
+    } = request;
+    let drain = self.drain();
+    let service_time = self.service_time();
+    let delay = self
+      .retry
+      .reject(now, caller, returning, drain, service_time);
+    Action::Shed(request.ticket, delay)
   }
 
   /// The estimated time until all requests that now run or are queued have ended.
-  fn retry_after(&self) -> Duration {
+  fn drain(&self) -> Duration {
     let ahead = self.scheduler.running() + self.scheduler.queued();
-    let rounds = ahead.div_ceil(self.slots()) as u32;
-    self.mean_run_time * rounds
+    self.service_time() * ahead as u32
+  }
+
+  /// The mean time between the ends of two requests while all slots are taken.
+  fn service_time(&self) -> Duration {
+    self.mean_run_time / self.slots() as u32
   }
 
   fn slots(&self) -> usize {
--- a/src/admission/request.rs
+++ b/src/admission/request.rs
@@ -9,6 +9,8 @@
 pub struct Request {
   /// A hash that identifies its caller.
   pub caller: u64,
+  /// Whether its caller comes back after the delay that it was told.
+  pub returning: bool,
   /// The deadline for starting it.
   pub start_by: Instant,
   /// Its number.
--- a/src/admission/scheduler.rs
+++ b/src/admission/scheduler.rs
@@ -2,8 +2,9 @@
   super::request::{Request, Ticket},
   crate::fair,
   std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
-    time::Instant,
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap},
+    time::{Duration, Instant},
   },
 };
 
@@ -125,6 +126,49 @@
     Some(since)
   }
 
+  /// Whether a new request would start before its deadline if it were queued and each running and
+  /// queued request took `run_time`.
+  pub fn would_start(&self, now: Instant, new: Request, slots: usize, run_time: Duration) -> bool {
+    // After this many rounds even the last one has started.
+    let rounds = (self.running() + self.queued()) / slots + 1;
+    if new.start_by > now + run_time * rounds as u32 {
+      return true;
+    }
+    let mut trial = self.clone();
+    trial.enqueue(new);
+    trial.starts(now, new, slots, run_time)
+  }
+
+  /// Runs the queue until the request has started or its deadline is over.
+  fn starts(mut self, now: Instant, new: Request, slots: usize, run_time: Duration) -> bool {
+    let ends = self.running.iter();
+    let ends =
+      ends.map(|(ticket, running)| Reverse(((running.since + run_time).max(now), *ticket)));
+    let mut ends = ends.collect::<BinaryHeap<_>>();
+    let mut time = now;
+    loop {
+      self.dequeue_expired(time);
+      while self.running() < slots {
+        let Some(next) = self.dequeue_next() else {
+          return false;
+        };
+        if next.ticket == new.ticket {
+          return true;
+        }
+        self.start(time, next);
+        ends.push(Reverse((time + run_time, next.ticket)));
+      }
+      let Some(Reverse((end, ticket))) = ends.pop() else {
+        return false;
+      };
+      if end >= new.start_by {
+        return false;
+      }
+      time = end;
+      self.end(ticket);
+    }
+  }
+
   fn running_of(&self, caller: u64) -> usize {
     self.running_of.get(&caller).copied().unwrap_or(0)
   }
--- a/src/admission/settings.rs
+++ b/src/admission/settings.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use {super::Spread, std::time::Duration};
 
 /// The limits of an admission machine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -9,6 +9,8 @@
   pub initial_run_time: Duration,
   /// How many requests run at the same time.
   pub slots: usize,
+  /// What the retry delays of rejected requests are spread by.
+  pub spread: Spread,
 }
 
 impl Default for Settings {
@@ -17,6 +19,7 @@
       queue_per_slot: 2,
       initial_run_time: Duration::from_millis(50),
       slots: 5,
+      spread: Spread::default(),
     }
   }
 }
--- a/tests/machines/fair.rs
+++ b/tests/machines/fair.rs
@@ -101,20 +101,23 @@
 const SLOTS: usize = 2;
 const QUEUE_PER_SLOT: usize = 3;
 
+const INITIAL_RUN_TIME: Duration = Duration::from_millis(60);
+
 /// A request: caller, deadline for starting, number.
 type Request = (u64, Instant, u64);
 
 /// The rules of an agent's slots, by scanning all requests.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Scan {
+  mean: Duration,
   queued: Vec<Request>,
-  running: Vec<Request>,
+  running: Vec<(Instant, Request)>,
 }
 
 impl Scan {
   fn arrive(&mut self, now: Instant, new: Request, may_wait: bool) -> Vec<(char, u64)> {
     let is_free = self.queued.is_empty() && self.running.len() < SLOTS;
-    if new.1 <= now || (!is_free && !may_wait) {
+    if new.1 <= now || (!is_free && (!may_wait || self.is_hopeless(now, new))) {
       return vec![('x', new.2)];
     }
     self.queued.push(new);
@@ -127,6 +130,22 @@
     actions.collect()
   }
 
+  /// Plays the queue with half of the mean running time, one end after another.
+  fn is_hopeless(&self, now: Instant, new: Request) -> bool {
+    let half = self.mean / 2;
+    let mut scan = self.clone();
+    scan.queued.push(new);
+    let end = |running: &(Instant, Request)| ((running.0 + half).max(now), running.1.2);
+    while let Some((time, ticket)) = scan.running.iter().map(end).min() {
+      scan.running.retain(|running| running.1.2 != ticket);
+      scan.expire_and_start(time);
+      if scan.running.iter().any(|running| running.1.2 == new.2) {
+        return false;
+      }
+    }
+    true
+  }
+
   fn remove_newest(&mut self) -> u64 {
     let count = |caller| {
       self
@@ -144,29 +163,31 @@
     newest
   }
 
-  fn end(&mut self, ticket: u64) {
+  fn end(&mut self, now: Instant, ticket: u64) {
     self.queued.retain(|request| request.2 != ticket);
-    self.running.retain(|request| request.2 != ticket);
+    let ended = self.running.extract_if(.., |running| running.1.2 == ticket);
+    for (since, _) in ended {
+      self.mean = self.mean.mul_f64(0.9) + now.duration_since(since).mul_f64(0.1);
+    }
   }
 
   fn expire_and_start(&mut self, now: Instant) -> Vec<(char, u64)> {
     let expired = self.queued.extract_if(.., |request| request.1 <= now);
     let mut actions = expired.map(|request| ('x', request.2)).collect::<Vec<_>>();
     while self.running.len() < SLOTS && !self.queued.is_empty() {
-      let count = |caller| {
+      let of = |caller| {
         self
           .running
           .iter()
-          .filter(|other| other.0 == caller)
-          .count()
+          .filter(move |running| running.1.0 == caller)
       };
       let next = self
         .queued
         .iter()
-        .min_by_key(|queued| (count(queued.0), queued.1, queued.2));
+        .min_by_key(|queued| (of(queued.0).count(), queued.1, queued.2));
       let next = *next.expect("a queue with requests");
       self.queued.retain(|queued| queued.2 != next.2);
-      self.running.push(next);
+      self.running.push((now, next));
       actions.push(('s', next.2));
     }
     actions
@@ -208,28 +229,31 @@
   }
 
   /// The agent's slots decide as a scan of all requests does: by the present number of running
-  /// requests, not by the number when a request came.
+  /// requests, not by the number when a request came. What cannot start in time never waits, and
+  /// nothing else is rejected while the queue has room.
   #[test]
   fn slots_decide_as_a_scan_does(
     steps in prop::collection::vec((0..6_u8, 0..4_u64, 0..300_u64), 1..300),
   ) {
     let mut machine = Machine::new(Settings {
-      initial_run_time: Duration::ZERO,
+      initial_run_time: INITIAL_RUN_TIME,
       queue_per_slot: QUEUE_PER_SLOT,
       slots: SLOTS,
       ..Settings::default()
     });
-    let (mut scan, mut now, mut last) = (Scan::default(), Instant::now(), 0);
+    let mut scan = Scan { mean: INITIAL_RUN_TIME, queued: Vec::new(), running: Vec::new() };
+    let (mut now, mut last) = (Instant::now(), 0);
     for (kind, caller, time) in steps {
-      let known = [scan.running.clone(), scan.queued.clone()].concat();
+      let running = scan.running.iter().map(|running| &running.1);
+      let known = running.chain(&scan.queued).map(|request| request.2).collect::<Vec<_>>();
       let (event, mut expected) = match (kind, &known[..]) {
         (0, _) | (1 | 2, []) => {
           now += Duration::from_millis(time / 4);
           (Event::Tick, Vec::new())
         }
         (1 | 2, known) => {
-          let ticket = known[time as usize % known.len()].2;
-          scan.end(ticket);
+          let ticket = known[time as usize % known.len()];
+          scan.end(now, ticket);
           (Event::Ended(Ticket(ticket)), Vec::new())
         }
         _ => {
--- a/tests/machines/main.rs
+++ b/tests/machines/main.rs
@@ -11,6 +11,7 @@
 mod membership;
 mod random_run;
 mod results;
+mod retry;
 mod routing;
 mod store;
 mod wire;
