--- a/src/admission/machine.rs
+++ b/src/admission/machine.rs
@@ -23,6 +23,11 @@
   },
   /// A queued or running request ended or was cancelled.
   Ended(Ticket),
+  /// A request of this caller was handed off to a peer, which runs it.
+  HandedOff {
+    /// A hash that identifies its caller.
+    caller: u64,
+  },
   /// Time passed; sheds queued requests whose deadline is over.
   Tick,
 }
@@ -95,6 +100,9 @@
         self.admit(now, request, may_wait, &mut actions);
       }
       Event::Ended(ticket) => self.remove(now, ticket),
+      Event::HandedOff { caller } => {
+        self.retry.arrive(now, caller);
+      }
       Event::Tick => {}
     }
     for expired in self.scheduler.dequeue_expired(now) {
--- a/src/agent/problem.rs
+++ b/src/agent/problem.rs
@@ -24,8 +24,8 @@
     }
   }
 
-  /// Creates the refusal of a request for which no slot is free; `retry_after` is rounded up to
-  /// whole seconds.
+  /// Creates the refusal of a request for which no slot is free. `retry_after` is in whole seconds,
+  /// except for a request that a peer handed off: it is then rounded up, and no caller is told it.
   pub fn busy(retry_after: std::time::Duration) -> Self {
     Self {
       code: Code::RequestSlotsFull,
--- a/src/agent/runner.rs
+++ b/src/agent/runner.rs
@@ -59,6 +59,7 @@
   if !call.local_only
     && let Some(reply) = hand_off_to_peers(shared, &call).await
   {
+    shared.slots.note_hand_off(hash_caller(call.caller));
     return reply;
   }
   if leaving {
--- a/src/agent/slots.rs
+++ b/src/agent/slots.rs
@@ -11,7 +11,7 @@
 /// The interval at which waiting requests are checked against their deadlines.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The decision about a request: it starts, or the time after which it may be retried.
+/// The decision about a request: it starts, or its retry delay.
 type Admission = Result<(), Duration>;
 
 /// The slots of the agent's upstream and the queue of requests that wait for one.
@@ -45,7 +45,7 @@
 impl Slots {
   /// Takes a slot. If none is free and `may_wait` is set, waits for one until `start_by`.
   ///
-  /// Fails with the time after which the request may be retried.
+  /// Fails with the retry delay, in whole seconds if `may_wait` is set.
   pub async fn acquire(
     &self,
     caller: u64,
@@ -78,6 +78,11 @@
     }
   }
 
+  /// Takes note that a peer runs a request of a caller, which may have come back as it was told.
+  pub fn note_hand_off(&self, caller: u64) {
+    lock(&self.0).step(Event::HandedOff { caller });
+  }
+
   /// Whether a request would start without waiting.
   pub fn is_free(&self) -> bool {
     lock(&self.0).machine.is_free()
--- a/tests/machines/retry.rs
+++ b/tests/machines/retry.rs
@@ -161,6 +161,35 @@
   assert_eq!(actions, [Action::Shed(Ticket(200), SECOND)]);
 }
 
+/// A caller that came back and was served by a peer must not delay those that come after it.
+#[test]
+fn caller_whose_request_a_peer_runs_is_not_expected() {
+  let run_time = 5 * SECOND;
+  let delay_of_next = |handed_off| {
+    let settings = Settings {
+      initial_run_time: run_time,
+      slots: 1,
+      ..Settings::default()
+    };
+    let (mut machine, now) = (Machine::new(settings), Instant::now());
+    let mut reject =
+      |now, caller| match machine.step(now, arrived(now, caller, caller, 99 * SECOND))[..] {
+        [Action::Shed(_, delay)] => Some(delay),
+        _ => None,
+      };
+    let delays = (0..4).map(|caller| reject(now, caller)).collect::<Vec<_>>();
+    let now = now + delays[3].expect("a full queue");
+    if handed_off {
+      machine.step(now, Event::HandedOff { caller: 3 });
+    }
+    match machine.step(now, arrived(now, 4, 4, 99 * SECOND))[..] {
+      [Action::Shed(_, delay)] => delay,
+      ref actions => panic!("{actions:?}"),
+    }
+  };
+  assert_eq!(delay_of_next(false), delay_of_next(true) + run_time);
+}
+
 /// What a caller that is rejected does.
 #[derive(Clone, Copy, Debug)]
 enum Delay {
