Measure an ordered set beside the fair queue

Change: the same placements and arrivals in an ordered set of each class, as the balancer's queue has now.

--- a/benches/queue.rs
+++ b/benches/queue.rs
@@ -3,6 +3,7 @@
 use {
   fallwell::fair::Queue,
   std::{
+    collections::BTreeSet,
     hint::black_box,
     net::{Ipv4Addr, SocketAddrV4},
     time::{Duration, Instant},
@@ -23,6 +24,8 @@
 
 type Classes = Vec<Queue<Ipv4Addr, Entry>>;
 
+type Sets = [BTreeSet<Entry>; CLASSES as usize];
+
 #[derive(Debug)]
 struct Load {
   callers: u32,
@@ -46,9 +49,9 @@
     ((self.last % CLASSES) as usize, caller, entry)
   }
 
-  fn fill(&mut self, entries: u32) -> Classes {
+  fn fill(&mut self) -> Classes {
     let mut classes = vec![Queue::new(); CLASSES as usize];
-    for _ in 0..entries {
+    for _ in 0..ENTRIES {
       let (class, caller, entry) = self.next();
       classes[class].insert(caller, 0, entry);
     }
@@ -90,10 +93,35 @@
   queue.insert(caller, 0, entry);
 }
 
+/// The same in an ordered set of each class, which has no callers: what a machine takes at least.
+fn place_in_set(classes: &mut Sets, load: &mut Load) {
+  let (class, _, entry) = load.next();
+  let set = &mut classes[class];
+  let since = entry.0.checked_sub(Duration::from_millis(500));
+  let since = since.unwrap_or(entry.0);
+  let first = set.range((since, entry.1, entry.2)..).next().copied();
+  if let Some(first) = first.or_else(|| set.first().copied()) {
+    set.remove(&first);
+  }
+  set.insert(entry);
+}
+
+fn fill_sets(load: &mut Load) -> Sets {
+  let mut classes = Sets::default();
+  for _ in 0..ENTRIES {
+    let (class, _, entry) = load.next();
+    classes[class].insert(entry);
+  }
+  classes
+}
+
 /// The least and the median of the rounds' mean times.
-fn decision_ns(callers: u32, decide: fn(&mut Classes, &mut Load)) -> [f64; 2] {
-  let mut load = load(callers);
-  let mut classes = load.fill(ENTRIES);
+fn decision_ns<Q>(
+  mut load: Load,
+  fill: fn(&mut Load) -> Q,
+  decide: fn(&mut Q, &mut Load),
+) -> [f64; 2] {
+  let mut classes = fill(&mut load);
   let rounds = (0..ROUNDS).map(|_| {
     let started = processor_ns();
     for _ in 0..DECISIONS {
@@ -126,7 +154,7 @@
 fn entry_bytes(callers: u32) -> f64 {
   let mut load = load(callers);
   let before = resident_bytes();
-  let processes = (0..PROCESSES).map(|_| load.fill(ENTRIES));
+  let processes = (0..PROCESSES).map(|_| load.fill());
   std::mem::forget(black_box(processes.collect::<Vec<_>>()));
   let used = resident_bytes().saturating_sub(before);
   used as f64 / f64::from(PROCESSES * ENTRIES)
@@ -137,9 +165,11 @@
   println!("callers | displacement ns: least, median | placement and arrival ns | bytes an entry");
   for callers in [ENTRIES, CALLERS, 100, 1] {
     let bytes = entry_bytes(callers);
-    let [least, median] = decision_ns(callers, displace);
+    let [least, median] = decision_ns(load(callers), Load::fill, displace);
     print!("{callers:>7} | {least:>22.0}, {median:>6.0} | ");
-    let [least, median] = decision_ns(callers, place);
+    let [least, median] = decision_ns(load(callers), Load::fill, place);
     println!("{least:>16.0}, {median:>6.0} | {bytes:>14.0}");
   }
+  let [least, median] = decision_ns(load(CALLERS), fill_sets, place_in_set);
+  println!("without callers, an ordered set: placement and arrival {least:.0}, {median:.0} ns");
 }
