--- a/tests/machines/retry.rs
+++ b/tests/machines/retry.rs
@@ -106,6 +106,15 @@
   }
 }
 
+fn machine(initial_run_time: Duration, slots: usize, spread: Spread) -> Machine {
+  Machine::new(Settings {
+    initial_run_time,
+    slots,
+    spread,
+    ..Settings::default()
+  })
+}
+
 fn arrived(now: Instant, ticket: u64, caller: u64, patience: Duration) -> Event {
   Event::Arrived {
     caller,
@@ -119,11 +128,7 @@
 /// not be rejected for what waits behind it.
 #[test]
 fn hopeless_request_is_rejected_on_arrival() {
-  let mut machine = Machine::new(Settings {
-    initial_run_time: SECOND,
-    slots: 1,
-    ..Settings::default()
-  });
+  let mut machine = machine(SECOND, 1, Spread::default());
   let now = Instant::now();
   for ticket in 0..2 {
     machine.step(now, arrived(now, ticket, 1, 10 * SECOND));
@@ -140,10 +145,7 @@
 /// A request that a peer handed off is told by that peer, so that it must not be expected here too.
 #[test]
 fn rejected_hand_off_does_not_delay_others() {
-  let mut machine = Machine::new(Settings {
-    slots: 1,
-    ..Settings::default()
-  });
+  let mut machine = machine(50 * MS, 1, Spread::default());
   let now = Instant::now();
   for ticket in 0..3 {
     machine.step(now, arrived(now, ticket, ticket, 10 * SECOND));
@@ -166,12 +168,7 @@
 fn caller_whose_request_a_peer_runs_is_not_expected() {
   let run_time = 5 * SECOND;
   let delay_of_next = |handed_off| {
-    let settings = Settings {
-      initial_run_time: run_time,
-      slots: 1,
-      ..Settings::default()
-    };
-    let (mut machine, now) = (Machine::new(settings), Instant::now());
+    let (mut machine, now) = (machine(run_time, 1, Spread::default()), Instant::now());
     let mut reject =
       |now, caller| match machine.step(now, arrived(now, caller, caller, 99 * SECOND))[..] {
         [Action::Shed(_, delay)] => Some(delay),
@@ -190,22 +187,6 @@
   assert_eq!(delay_of_next(false), delay_of_next(true) + run_time);
 }
 
-/// What a caller that is rejected does.
-#[derive(Clone, Copy, Debug)]
-enum Delay {
-  /// It comes back when it is told to.
-  AsTold(Spread),
-  /// All come back after the same time, as before callers were told different ones.
-  Fixed(Duration),
-}
-
-/// Requests of as many callers as arrive, at a rate for each second, and their running time.
-#[derive(Clone, Copy, Debug)]
-struct Load {
-  per_second: [u64; 12],
-  run_time: Duration,
-}
-
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Step {
   Arrive { caller: u64, first: Instant },
@@ -225,21 +206,14 @@
   (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33
 }
 
-/// Plays a load until all callers have been served. Callers come back up to 50 ms late, wait for at
-/// most a second, and never give up.
-fn replay(load: Load, delay: Delay) -> Outcome {
-  let spread = match delay {
-    Delay::AsTold(spread) => spread,
-    Delay::Fixed(_) => Spread::default(),
-  };
-  let mut machine = Machine::new(Settings {
-    initial_run_time: load.run_time,
-    spread,
-    ..Settings::default()
-  });
+/// Plays a load of so many callers in each second until all have been served. Rejected ones come
+/// back when they are told to, or all after a second without a spread, and up to 50 ms late. They
+/// wait for at most a second and never give up.
+fn replay(run_time: Duration, per_second: [u64; 12], spread: Option<Spread>) -> Outcome {
+  let mut machine = machine(run_time, 5, spread.unwrap_or_default());
   let start = Instant::now();
   let mut steps = BinaryHeap::new();
-  for (second, count) in (0..).zip(load.per_second) {
+  for (second, count) in (0..).zip(per_second) {
     for index in 0..count {
       let caller = second << 32 | index;
       let first = start + SECOND * second as u32 + MS * (mixed(caller) % 1000) as u32;
@@ -260,11 +234,7 @@
       match action {
         Action::Shed(Ticket(ticket), told) => {
           outcome.rejections += 1;
-          let told = if let Delay::Fixed(fixed) = delay {
-            fixed
-          } else {
-            told
-          };
+          let told = spread.map_or(SECOND, |_| told);
           let (caller, first) = requests[ticket as usize];
           let late = MS * (mixed(ticket) % 50) as u32;
           steps.push(Reverse((now + told + late, Step::Arrive { caller, first })));
@@ -274,8 +244,8 @@
           outcome.served += 1;
           outcome.mean += waited;
           outcome.longest = outcome.longest.max(waited);
-          let run_time = load.run_time / 2 + load.run_time * (mixed(ticket.0) % 1000) as u32 / 1000;
-          steps.push(Reverse((now + run_time, Step::End(ticket))));
+          let taken = run_time / 2 + run_time * (mixed(ticket.0) % 1000) as u32 / 1000;
+          steps.push(Reverse((now + taken, Step::End(ticket))));
         }
         Action::Wait(_) => {}
       }
@@ -285,60 +255,36 @@
   outcome
 }
 
-/// Five slots that serve 100 requests a second (50 ms each) or 5 (1 s each), a burst or an overload,
-/// after which the load is at half of the capacity.
-const LOADS: [(&str, Load); 4] = [
+/// Five slots that serve 100 requests a second (50 ms each) or 5 (1 s each): a burst or an overload,
+/// after which the load is at half of the capacity. Name, running time, callers in each second.
+const LOADS: [(&str, u32, [u64; 12]); 4] = [
   (
-    "burst, 50 ms",
-    Load {
-      per_second: [800, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50],
-      run_time: Duration::from_millis(50),
-    },
+    "burst",
+    50,
+    [800, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50],
   ),
   (
-    "overload, 50 ms",
-    Load {
-      per_second: [160, 160, 160, 160, 160, 160, 50, 50, 50, 50, 50, 50],
-      run_time: Duration::from_millis(50),
-    },
-  ),
-  (
-    "burst, 1 s",
-    Load {
-      per_second: [60, 2, 3, 2, 3, 2, 3, 2, 3, 2, 3, 2],
-      run_time: Duration::from_secs(1),
-    },
-  ),
-  (
-    "overload, 1 s",
-    Load {
-      per_second: [8, 8, 8, 8, 8, 8, 2, 3, 2, 3, 2, 3],
-      run_time: Duration::from_secs(1),
-    },
+    "overload",
+    50,
+    [160, 160, 160, 160, 160, 160, 50, 50, 50, 50, 50, 50],
   ),
+  ("slow burst", 1000, [60, 2, 3, 2, 3, 2, 3, 2, 3, 2, 3, 2]),
+  ("slow overload", 1000, [8, 8, 8, 8, 8, 8, 2, 3, 2, 3, 2, 3]),
 ];
 
 /// Delays that bring callers back in vain must not return: either way of spreading needs fewer
 /// rejections than the same delay for all. Prints the figures of the comparison.
 #[test]
 fn told_delays_need_fewer_rejections_than_one_delay_for_all() {
-  for (name, load) in LOADS {
-    let requests = load.per_second.iter().sum::<u64>();
-    let delays = [
-      Delay::Fixed(SECOND),
-      Delay::AsTold(Spread::Caller),
-      Delay::AsTold(Spread::Order),
-    ];
-    let outcomes = delays.map(|delay| (delay, replay(load, delay)));
-    for (delay, outcome) in &outcomes {
-      println!("{name}, {delay:?}: {outcome:?}");
-      assert_eq!(outcome.served, requests);
-    }
-    let [fixed, caller, order] = outcomes.map(|(_, outcome)| outcome.rejections);
-    assert!(
-      caller < fixed && order < fixed,
-      "{name}: {fixed} {caller} {order}"
-    );
+  for (name, run_ms, per_second) in LOADS {
+    let rejections = [None, Some(Spread::Caller), Some(Spread::Order)].map(|spread| {
+      let outcome = replay(MS * run_ms, per_second, spread);
+      println!("{name}, {spread:?}: {outcome:?}");
+      assert_eq!(outcome.served, per_second.iter().sum::<u64>());
+      outcome.rejections
+    });
+    let [fixed, caller, order] = rejections;
+    assert!(caller < fixed && order < fixed, "{name}: {rejections:?}");
   }
 }
 
