--- a/tests/machines/main.rs
+++ b/tests/machines/main.rs
@@ -4,12 +4,14 @@
 mod mesh;
 
 mod admission;
+mod fair;
 mod flow;
 mod gossip;
 mod ledger;
 mod membership;
 mod random_run;
 mod results;
+mod retry;
 mod routing;
 mod store;
 mod wire;
