Reject flows that a balancer's queue can't serve, by class

No flow was rejected before its caller's patience was over: the limit of the queue was the rate of all targets times 1.4 s in each balancer, and counted all classes together.

With `overload.enabled`, `Shedding` decides by class and caller which flows wait, which are displaced or rejected, and in which order they are placed, from the placements of the last 700 ms and from what agents report. The balancer counts the outcomes by priority, shows the state as `admission` in its dump, logs when a class becomes overloaded or recovers, and names the reason for each flow that it gives up. With the switch off, decisions and packets are as before.

--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -2,8 +2,11 @@
 //! queries agents for flows that it does not know.
 
 mod announced;
+mod capacity;
 mod choosing;
+mod class_state;
 mod cost;
+mod drain;
 mod egress;
 mod ending;
 mod evacuations;
@@ -11,18 +14,38 @@
 mod granted;
 mod history;
 mod machine;
+mod measuring;
 mod opening;
+mod outcome;
 mod packets;
+mod patience;
+mod per_second;
 mod place;
 mod queries;
 mod queue;
+mod reason;
 mod remembering;
 mod restarting;
 mod restarts;
 mod search;
 mod searching;
+mod shedding;
+mod supply;
 mod targets;
 mod testing;
+mod verdict;
 mod waiting;
+mod waitlist;
 
-pub use machine::Machine;
+pub use {
+  capacity::Capacity,
+  class_state::ClassState,
+  machine::Machine,
+  patience::Patience,
+  per_second::PerSecond,
+  queue::{FlowClass, Queued},
+  reason::Reason,
+  shedding::Shedding,
+  verdict::Verdict,
+  waitlist::Newcomer,
+};
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -3,11 +3,13 @@
     announced::Announced,
     egress::Egress,
     history::History,
+    patience::Patience,
     place::{Place, State},
     queries::Queries,
     queue::Queue,
     restarts::Restarts,
     search::Search,
+    shedding::Shedding,
     targets::Targets,
     testing::TEST_EVERY,
   },
@@ -76,6 +78,7 @@
   /// When searches that are not answered time out.
   pub(super) search_deadlines: BTreeSet<(Instant, Flow)>,
   pub(super) searches: HashMap<Flow, Search>,
+  pub(super) shedding: Shedding,
   pub(super) gossip: Gossip,
   /// Until when opening packets may be older than they seem, after a stall of this process.
   pub(super) stale_until: Instant,
@@ -118,6 +121,7 @@
       restarts: Restarts::default(),
       search_deadlines: BTreeSet::new(),
       searches: HashMap::new(),
+      shedding: Shedding::new(Patience::of::<C>()),
       gossip,
       stale_until: now,
       targets: Targets::new(
@@ -141,6 +145,7 @@
       log::info!(delay:? = delay; "balancer: process was paused.");
     }
     self.stale_until = now + C::CONNECT_TIMEOUT;
+    self.shedding.restart(now);
   }
 
   /// Accounts for the bytes that an event has added to `out`, which held `before` bytes.
@@ -239,6 +244,7 @@
 
   fn dump(&self, now: Instant) -> serde_json::Value {
     json!({
+      "admission": self.dump_admission(now),
       "flows": self.flows.len(),
       "parked": self.queue.total(),
       "waiting": self.egress.len(),
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -6,6 +6,7 @@
     machine::{Machine, TARGETS_MAX},
     place::{Opening, Place, State, Tried},
     queue::FlowClass,
+    reason::Reason,
   },
   crate::{
     Code,
@@ -90,7 +91,7 @@
   ) -> Result<(), Code> {
     let Some(service) = self.destination(now, &flow) else {
       log::info!(flow:% = flow; "balancer: no service of the route accepts new flows.");
-      self.give_up(now, &flow, &opening, out);
+      self.give_up(now, &flow, &opening, Reason::Unroutable, out);
       return Err(Code::PacketUnroutable);
     };
     self.place_at(now, flow, &service, opening, out)
@@ -117,7 +118,7 @@
         "balancer: no target of the service accepts new flows."
       );
       if self.targets.all_closed(now, service) {
-        self.give_up(now, &flow, &opening, out);
+        self.give_up(now, &flow, &opening, Reason::Closed, out);
       }
       return Err(Code::PacketUnroutable);
     };
@@ -152,6 +153,7 @@
       weight:% = self.weight(&flow, service);
       "balancer: flow is placed."
     );
+    self.record_placement(now, (opening.first, flow), service, &choice);
     opening.tried.push(agent);
     opening.sent = now;
     opening.deadline = now + self.open_timeout.wait();
@@ -230,6 +232,7 @@
       return;
     };
     let mut opening = opening.clone();
+    self.retract_placement(&flow);
     opening.may_be_open |= !refused;
     let next = self.choose(now, &flow, &service, &opening.tried);
     if opening.tried.len() >= TARGETS_MAX || next.is_none() {
--- a/src/datagram/balancer/queue.rs
+++ b/src/datagram/balancer/queue.rs
@@ -10,7 +10,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The flow that sorts before all others.
-const FIRST_FLOW: Flow = Flow {
+pub(super) const FIRST_FLOW: Flow = Flow {
   caller: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
   route: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
 };
--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -4,8 +4,12 @@
   super::{
     choosing::Choice,
     machine::Machine,
+    outcome::{self, Outcome},
     place::{Opening, Place, State, Tried},
     queue::{FlowClass, Queued},
+    reason::Reason,
+    verdict::Verdict,
+    waitlist::Newcomer,
   },
   crate::{
     Code,
@@ -18,7 +22,8 @@
 const ANSWER_LATENCY_MAX: Duration = Duration::from_millis(20);
 
 impl<C: Codec> Machine<C> {
-  /// Queues an opening packet, or gives it up if the queue of its service is full.
+  /// Queues an opening packet, or gives it up if the queue is full. A flow whose place it takes is
+  /// given up too.
   pub(super) fn enqueue(
     &mut self,
     now: Instant,
@@ -28,32 +33,60 @@
     choice: Option<Choice>,
     out: &mut Outbox,
   ) -> Result<(), Code> {
-    if (self.queue.len(service) as f64) < self.queue_capacity(now, service) {
-      log::info!(
-        flow:% = flow, service:% = service, wait_ms:? = choice.map(|choice| choice.wait_ms),
-        ahead = self.queue.len(service);
-        "balancer: flow is queued until a target can take it."
-      );
-      let class = self.class(&flow, service);
-      self.queue.enqueue(now, &class, (opening.first, flow));
-      let place = Place {
-        agent: self.gossip.address(),
-        last_packet: now,
-        service: service.digest(),
-        state: State::Queued(class, opening),
-      };
-      self.flows.insert(flow, place);
-      return Ok(());
+    let class = self.class(&flow, service);
+    Outcome::Arrived.count(&self.counter, &class);
+    match self.admit(now, &class, (opening.first, flow)) {
+      Verdict::Rejected(reason) => {
+        log::info!(
+          flow:% = flow, service:% = service, at:? = choice.map(|choice| choice.agent),
+          wait_ms:? = choice.map(|choice| choice.wait_ms),
+          age_ms:? = choice.and_then(|choice| self.targets.age_ms(now, choice.agent)),
+          version:% = self.gossip.catalog().version(), queued = self.queue.len(service);
+          "balancer: admission queue is full."
+        );
+        Outcome::Rejected.count(&self.counter, &class);
+        self.give_up(now, &flow, &opening, reason, out);
+        return Err(Code::QueueFull);
+      }
+      Verdict::Displaces(other, displaced) => {
+        self.queue.remove(&other, displaced);
+        self.reject_queued(now, &other, displaced, Reason::Displaced, out);
+      }
+      Verdict::Waits => {}
     }
     log::info!(
-      flow:% = flow, service:% = service, at:? = choice.map(|choice| choice.agent),
-      wait_ms:? = choice.map(|choice| choice.wait_ms),
-      age_ms:? = choice.and_then(|choice| self.targets.age_ms(now, choice.agent)),
-      version:% = self.gossip.catalog().version(), queued = self.queue.len(service);
-      "balancer: admission queue is full."
+      flow:% = flow, service:% = service, wait_ms:? = choice.map(|choice| choice.wait_ms),
+      ahead = self.queue.len(service);
+      "balancer: flow is queued until a target can take it."
     );
-    self.give_up(now, &flow, &opening, out);
-    Err(Code::QueueFull)
+    self.queue.enqueue(now, &class, (opening.first, flow));
+    let place = Place {
+      agent: self.gossip.address(),
+      last_packet: now,
+      service: service.digest(),
+      state: State::Queued(class, opening),
+    };
+    self.flows.insert(flow, place);
+    Ok(())
+  }
+
+  /// Decides whether a flow may be queued.
+  fn admit(&mut self, now: Instant, class: &FlowClass, queued: Queued) -> Verdict {
+    let service = &class.service;
+    if !self.tuning.overload.enabled {
+      let is_full = self.queue.len(service) as f64 >= self.queue_capacity(now, service);
+      return if is_full {
+        Verdict::Rejected(Reason::Full)
+      } else {
+        Verdict::Waits
+      };
+    }
+    let (_, flow) = queued;
+    let route = self.gossip.catalog().route(&flow.route);
+    let objective = route.map_or(Duration::ZERO, |route| route.objective);
+    self.update_capacity(now, service);
+    let newcomer = Newcomer { objective, queued };
+    self.shedding.admit(now, class, &newcomer)
   }
 
   /// How many flows of a service may be queued: as many as its targets can answer before callers
@@ -66,13 +99,21 @@
   /// Removes a flow that no target has opened, as far as this balancer knows. It is reset unless it
   /// may be open: at a target that did not answer, or through another balancer that received a
   /// transmission.
-  pub(super) fn give_up(&mut self, now: Instant, flow: &Flow, opening: &Opening, out: &mut Outbox) {
+  pub(super) fn give_up(
+    &mut self,
+    now: Instant,
+    flow: &Flow,
+    opening: &Opening,
+    reason: Reason,
+    out: &mut Outbox,
+  ) {
     let age = now.saturating_duration_since(opening.received);
     // The packet may have taken up to half of the interval to get here.
     let may_be_missing = opening.attempt + 1 < C::OPEN_ATTEMPTS && age >= C::INITIAL_RTO / 2;
     let is_reset = !opening.may_be_open && !may_be_missing;
     log::info!(
-      flow:% = flow, age:? = age, attempt = opening.attempt, reset = is_reset;
+      flow:% = flow, age:? = age, attempt = opening.attempt, reset = is_reset,
+      reason:% = reason;
       "balancer: flow is given up."
     );
     self.flows.remove(flow);
@@ -84,12 +125,14 @@
   /// Sends queued flows to targets that can take them, the highest priority first.
   pub(super) fn place_queued(&mut self, now: Instant, out: &mut Outbox) {
     for class in self.queue.due(now) {
+      self.update_capacity(now, &class.service);
       self.expire_queued(now, &class, out);
       while let Some((queued, choice)) = self.next_queued(now, &class) {
         let _ = self.send_queued(now, &class, queued, choice, out);
       }
       self.announce(now, &class.service, out);
     }
+    self.log_overload(now);
   }
 
   /// The next flow of a class to be sent, with its target; none if it would wait too long at every
@@ -114,6 +157,10 @@
     class: &FlowClass,
     choice: &Choice,
   ) -> Option<Queued> {
+    if self.tuning.overload.enabled {
+      let wait = Duration::from_secs_f64(choice.wait_ms / 1000.0);
+      return self.shedding.next(now, class, wait);
+    }
     let newest = self.queue.newest(class)?;
     if self.is_in_time(now, newest, choice) {
       return Some(newest);
@@ -124,7 +171,7 @@
 
   /// Whether a flow would be answered within its route's objective, counted from when the caller
   /// started.
-  fn is_in_time(&self, now: Instant, (first, flow): Queued, choice: &Choice) -> bool {
+  pub(super) fn is_in_time(&self, now: Instant, (first, flow): Queued, choice: &Choice) -> bool {
     let Some(route) = self.gossip.catalog().route(&flow.route) else {
       return false;
     };
@@ -144,11 +191,13 @@
   ) -> bool {
     let (_, flow) = queued;
     self.queue.remove(class, queued);
+    self.shedding.remove(class, queued);
     let Some(opening) = self.queued_opening(&flow).cloned() else {
       return false;
     };
     let Some(route) = self.gossip.catalog().route(&flow.route) else {
-      self.give_up(now, &flow, &opening, out);
+      Outcome::Rejected.count(&self.counter, class);
+      self.give_up(now, &flow, &opening, Reason::RouteRemoved, out);
       return false;
     };
     if !route.backends.takes(&class.service) {
@@ -159,6 +208,11 @@
     }
     let waited = now.saturating_duration_since(opening.received);
     self.counter.observe("wait", waited);
+    self.counter.observe(outcome::wait_name(class), waited);
+    Outcome::Placed.count(&self.counter, class);
+    if choice.is_granted {
+      Outcome::Granted.count(&self.counter, class);
+    }
     self.send_to(now, flow, &class.service, opening, choice, out);
     true
   }
@@ -178,29 +232,55 @@
       ..
     }) = self.flows.get(flow)
     {
-      self.queue.remove(class, (opening.first, *flow));
+      let queued = (opening.first, *flow);
+      self.queue.remove(class, queued);
+      self.shedding.remove(class, queued);
     }
   }
 
-  /// Gives up flows whose callers would give up before an answer reached them, and all flows of a
-  /// service whose data centres are all closed.
+  /// Gives up flows whose callers would give up before an answer reached them, all flows of a service
+  /// whose data centres are all closed, and flows that are known not to be served.
   pub(super) fn expire_queued(&mut self, now: Instant, class: &FlowClass, out: &mut Outbox) {
-    let ttl = if self.targets.all_closed(now, &class.service) {
-      Duration::ZERO
+    let (ttl, reason) = if self.targets.all_closed(now, &class.service) {
+      (Duration::ZERO, Reason::Closed)
     } else {
-      C::CONNECT_TIMEOUT.saturating_sub(ANSWER_LATENCY_MAX)
+      let ttl = C::CONNECT_TIMEOUT.saturating_sub(ANSWER_LATENCY_MAX);
+      (ttl, Reason::Expired)
     };
     while let Some(queued) = self.queue.oldest(class) {
-      let (first, flow) = queued;
+      let (first, _) = queued;
       if now < first + ttl {
-        return;
+        break;
       }
       self.queue.remove(class, queued);
-      let Some(opening) = self.queued_opening(&flow).cloned() else {
-        continue;
-      };
-      self.counter.count(Code::QueueFull);
-      self.give_up(now, &flow, &opening, out);
+      self.shedding.remove(class, queued);
+      self.reject_queued(now, class, queued, reason, out);
     }
+    for queued in self.shedding.shed(now, class) {
+      self.queue.remove(class, queued);
+      self.reject_queued(now, class, queued, Reason::Late, out);
+    }
+  }
+
+  /// Gives up a flow that was removed from the queue.
+  fn reject_queued(
+    &mut self,
+    now: Instant,
+    class: &FlowClass,
+    (_, flow): Queued,
+    reason: Reason,
+    out: &mut Outbox,
+  ) {
+    let Some(opening) = self.queued_opening(&flow).cloned() else {
+      return;
+    };
+    let outcome = match reason {
+      Reason::Displaced => Outcome::Displaced,
+      Reason::Expired => Outcome::Expired,
+      _ => Outcome::Rejected,
+    };
+    outcome.count(&self.counter, class);
+    self.counter.count(Code::QueueFull);
+    self.give_up(now, &flow, &opening, reason, out);
   }
 }
--- a/tests/datagram/main.rs
+++ b/tests/datagram/main.rs
@@ -25,6 +25,7 @@
 mod restarting;
 mod searching;
 mod sharing;
+mod shedding;
 mod support;
 mod upstream_restarted;
 mod waiting;
--- a/tests/datagram/support.rs
+++ b/tests/datagram/support.rs
@@ -300,6 +300,14 @@
     Self::new(machine, now)
   }
 
+  /// A balancer that has just started, with other limits than the default ones.
+  pub fn tuned(host: u8, tuning: &Tuning) -> Self {
+    let now = Instant::now();
+    let counter = Arc::new(Counter::default());
+    let machine = balancer::Machine::new(now, &settings(host), *tuning, Plain, 1, counter);
+    Self::new(machine, now)
+  }
+
   /// A balancer that stops placing flows in an evacuated data centre after half of `closing`. Its
   /// incarnation, 500, sets that fraction.
   pub fn closing(host: u8, closing: Duration) -> Self {
