--- a/tests/datagram/shedding.rs
+++ b/tests/datagram/shedding.rs
@@ -61,6 +61,8 @@
   now: Instant,
   placed: Vec<(Instant, FlowClass, Flow, bool)>,
   ports: u16,
+  rate: f64,
+  reported: Option<usize>,
   shedding: Shedding,
   waiting: BTreeMap<FlowClass, BTreeMap<Flow, Waiting>>,
 }
@@ -73,6 +75,8 @@
       now: Instant::now() + Duration::from_secs(100),
       placed: Vec::new(),
       ports: 0,
+      rate,
+      reported: waiting,
       shedding: Shedding::new(PATIENCE),
       waiting: BTreeMap::new(),
     };
@@ -81,6 +85,10 @@
   }
 
   fn update(&mut self, rate: f64, waiting: Option<usize>) {
+    if rate > 0.0 {
+      self.rate = rate;
+    }
+    self.reported = waiting;
     let capacity = Capacity {
       answer: ANSWER,
       rate: PerSecond(rate),
@@ -94,9 +102,13 @@
   }
 
   fn is_overloaded(&self, priority: u8) -> bool {
-    let state = self.shedding.state(self.now, &class(priority));
-    assert_eq!(state.queued, self.len(priority));
-    state.overloaded
+    self.shedding.state(self.now, &class(priority)).overloaded
+  }
+
+  /// How many flows of a caller wait.
+  fn flows_of(&self, class: &FlowClass, caller: Ipv4Addr) -> usize {
+    let list = self.waiting[class].keys();
+    list.filter(|flow| *flow.caller.ip() == caller).count()
   }
 
   /// The placements of a class within the window, all or the late ones, a second.
@@ -130,14 +142,17 @@
       objective: OBJECTIVE,
       queued,
     };
+    let was_overloaded = self.is_overloaded(priority);
     match self.shedding.admit(self.now, &class, &newcomer) {
       Verdict::Waits => {}
       Verdict::Displaces(other, displaced) => {
-        assert!(other >= class, "a more urgent flow was displaced");
+        self.check_full(&class, queued, was_overloaded);
+        self.check_displacement(&class, flow, &other, displaced);
         self.end(&other, displaced, End::Displaced);
       }
       Verdict::Rejected(_) => {
-        self.check_rejection(&class, queued);
+        self.check_full(&class, queued, was_overloaded);
+        self.check_rejection(&class, flow);
         self.ends.insert(flow, (End::Rejected, priority, age));
         return false;
       }
@@ -147,14 +162,47 @@
     true
   }
 
-  /// A flow may only be rejected if a limit is reached and no less urgent flow waits.
-  fn check_rejection(&self, class: &FlowClass, queued: Queued) {
+  /// A flow is displaced from the lowest class, or from a caller that has at least two more flows;
+  /// it is the newest of the caller that has the most.
+  fn check_displacement(&self, class: &FlowClass, new: Flow, other: &FlowClass, displaced: Queued) {
+    let waiting = self.waiting.iter().filter(|(_, list)| !list.is_empty());
+    assert_eq!(waiting.map(|(class, _)| class).max(), Some(other));
+    let caller = *displaced.1.caller.ip();
+    let flows = self.waiting[other].values().map(|flow| flow.queued);
+    let own = flows
+      .clone()
+      .filter(|(_, flow)| *flow.caller.ip() == caller);
+    assert_eq!(own.clone().max(), Some(displaced));
+    let most = flows.map(|(_, flow)| self.flows_of(other, *flow.caller.ip()));
+    assert_eq!(most.max(), Some(own.count()));
+    let least = self.flows_of(class, *new.caller.ip()) + 2;
+    assert!(other > class || self.flows_of(other, caller) >= least);
+  }
+
+  /// A flow may only be rejected if no less urgent one waits.
+  fn check_rejection(&self, class: &FlowClass, flow: Flow) {
     let lower = self.waiting.iter().filter(|(other, _)| *other > class);
     assert_eq!(lower.map(|(_, list)| list.len()).sum::<usize>(), 0);
+    let own = self.flows_of(class, *flow.caller.ip());
+    let callers = self.waiting[class].keys().map(|flow| *flow.caller.ip());
+    let most = callers.map(|caller| self.flows_of(class, caller)).max();
+    assert!(most.is_some_and(|most| most < own + 2));
+  }
+
+  /// A flow that is not added, or displaces another, must have reached the limit that applies to it.
+  /// Its arrival may have shown that the class has become overloaded.
+  fn check_full(&self, class: &FlowClass, queued: Queued, was_overloaded: bool) {
     let list = &self.waiting[class];
     assert!(!list.is_empty(), "one flow may always wait");
-    if !self.is_overloaded(class.priority) {
-      return;
+    if !was_overloaded {
+      let (ahead, behind) = (0u8..3).partition::<Vec<_>, _>(|of| *of <= class.priority);
+      let len = |classes: Vec<u8>| classes.iter().map(|of| self.len(*of)).sum::<usize>();
+      let others = self.reported.unwrap_or(0).saturating_sub(len(behind));
+      let is_full = len(ahead).max(others) as f64 >= self.rate * PATIENCE.total.as_secs_f64();
+      assert!(is_full || self.is_overloaded(class.priority));
+      if is_full {
+        return;
+      }
     }
     let late = list.values();
     let late = late.filter(|flow| !self.is_in_time(flow.queued, ANSWER));
@@ -192,6 +240,8 @@
       for queued in self.shedding.shed(self.now, &class) {
         self.end(&class, queued, End::Rejected);
       }
+      let state = self.shedding.state(self.now, &class);
+      assert_eq!(state.queued, self.len(class.priority));
       self.check_hopeless(&class);
     }
   }
