Grant slots by class

An agent granted a slot to the balancer with the longest queue, whatever waited there, so that priority ended at the balancer and a caller with many flows counted as many callers.

Backlogs now list the queued flows and callers of each class, and a grant names the class that it is for. With the overload switch on, a schedule chooses the class (highest first, one grant in 8 to a lower one) and the balancer (round robin weighted by callers without a slot). Agents report how many flows wait for their service; above the number of slots, balancers queue new flows, and agents refuse those without a grant. A balancer whose reports are not answered for 60 ms places by loads and says so.

--- a/src/datagram/agent.rs
+++ b/src/datagram/agent.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod answers;
+mod bid;
 mod cold;
 mod delivery;
 mod fan_out;
@@ -11,6 +12,7 @@
 mod grants;
 mod machine;
 mod restarting;
+mod schedule;
 mod work;
 
-pub use machine::Machine;
+pub use {bid::Bid, machine::Machine, schedule::Schedule};
--- a/src/datagram/agent/admission.rs
+++ b/src/datagram/agent/admission.rs
@@ -1,9 +1,16 @@
 //! Decides whether the agent lets its upstream open a new flow.
 
 use {
-  super::{cold, flow_entry::FlowState, machine::Machine},
-  crate::datagram::{Codec, Flow, Warmup, frame::Refusal},
-  std::{net::SocketAddrV4, time::Instant},
+  super::{
+    cold,
+    flow_entry::FlowState,
+    machine::{CallerPacket, Machine},
+  },
+  crate::datagram::{
+    Codec, Flow, Warmup,
+    frame::{Handling, Refusal},
+  },
+  std::time::Instant,
 };
 
 /// In a closed data centre, an agent refuses new flows after this many times the time within which
@@ -13,12 +20,8 @@
 impl<C: Codec> Machine<C> {
   /// Why a flow that a balancer wants opened is refused; none where it is admitted. Uses a slot
   /// that is reserved for the balancer, if there is one.
-  pub(super) fn refusal(
-    &mut self,
-    now: Instant,
-    flow: &Flow,
-    balancer: SocketAddrV4,
-  ) -> Option<Refusal> {
+  pub(super) fn refusal(&mut self, now: Instant, packet: &CallerPacket) -> Option<Refusal> {
+    let flow = &packet.head.flow;
     if self.leaving {
       return Some(Refusal::Leaving);
     }
@@ -29,14 +32,26 @@
     if !known && !self.work.allows(now) {
       return Some(Refusal::Down);
     }
-    let granted = self.grants.redeem(balancer);
+    if known && self.tuning.overload.enabled {
+      // A retransmission uses no slot that is reserved for another flow.
+      return None;
+    }
+    let granted = self.grants.redeem(packet.balancer, self.priority(flow));
     if known {
       return None;
     }
     if self.room(now).is_some_and(|room| room == 0) {
       return Some(Refusal::Cold);
     }
-    (!granted && self.would_miss_objective(flow)).then_some(Refusal::Busy)
+    let waits_for_grant = packet.handling != Handling::OpenUngranted && self.grants_only(now);
+    let is_busy = waits_for_grant || self.would_miss_objective(flow);
+    (!granted && is_busy).then_some(Refusal::Busy)
+  }
+
+  /// The priority of a flow's route; the lowest where it has none.
+  fn priority(&self, flow: &Flow) -> u8 {
+    let route = self.gossip.catalog().route(&flow.route);
+    route.map_or(u8::MAX, |route| route.priority)
   }
 
   /// Whether new flows are refused because the data centre is closed.
--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -61,7 +61,7 @@
       self.counter.count(Code::PacketUnroutable);
       return;
     }
-    if let Some(refusal) = self.refusal(now, &flow, packet.balancer) {
+    if let Some(refusal) = self.refusal(now, packet) {
       self.refuse(now, packet, refusal, out);
       return;
     }
@@ -273,7 +273,7 @@
     out: &mut Outbox,
   ) {
     let flow = packet.head.flow;
-    if packet.handling == Handling::Open {
+    if packet.handling.opens() {
       let load = self.load(now);
       log::info!(
         flow:% = flow, reason:? = refusal, work = load.work, service_ms = load.service_ms,
@@ -348,7 +348,7 @@
 fn send_absent(packet: &CallerPacket, known: Known, out: &mut Outbox) {
   let returned = match packet.handling {
     Handling::Deliver => packet.bytes,
-    Handling::Open | Handling::Test => &[],
+    Handling::Open | Handling::OpenUngranted | Handling::Test => &[],
   };
   let frame = Frame::Absent {
     flows: vec![packet.head.flow],
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -124,7 +124,7 @@
       data_centre: settings.data_centre.clone(),
       first_request_timeout: Timeout::new(tuning.arrival_min, tuning.arrival_initial),
       flows: HashMap::new(),
-      grants: Grants::default(),
+      grants: Grants::new(tuning.overload.enabled),
       handover: Handover::default(),
       last_expiry: now,
       last_report: now,
@@ -166,7 +166,7 @@
         flows,
         services,
       } => self.answer_query(now, from, &flows, &services, synced, out),
-      Frame::Backlog { flows, service } => self.set_backlog(now, from, flows, service),
+      Frame::Backlog { service, classes } => self.set_backlog(now, from, service, &classes),
       Frame::Carry {
         synced,
         handling,
@@ -280,6 +280,7 @@
   pub(super) fn load(&self, now: Instant) -> Load {
     Load {
       room: self.room(now),
+      waiting: self.waiting(now),
       ..self.work.load(now, self.flows.len())
     }
   }
@@ -319,8 +320,11 @@
     let load = self.load(now);
     let role = Role::Agent(load);
     let before = self.reported_load;
-    let changed =
-      load.work != before.work || load.down != before.down || load.is_full(0) != before.is_full(0);
+    let slots = self.slots();
+    let changed = load.work != before.work
+      || load.down != before.down
+      || load.is_full(0) != before.is_full(0)
+      || (load.waiting > slots) != (before.waiting > slots);
     if now >= self.gossip.deadline() || (changed && now >= self.last_report + self.tuning.report) {
       self.last_report = now;
       self.reported_load = load;
@@ -352,12 +356,15 @@
     self.gossip.expire(now);
   }
 
-  /// Whether the number of requests in flight, or whether the upstream has room for new flows, has
-  /// changed since the last report.
+  /// Whether the number of requests in flight, whether the upstream has room for new flows, or
+  /// whether only flows with a grant are opened, has changed since the last report.
   fn load_changed(&self) -> bool {
     let reported = self.reported_load;
     let full = self.room(self.last_run) == Some(0);
-    self.work.in_flight() != reported.work || full != reported.is_full(0)
+    let grants_only = self.grants_only(self.last_run);
+    self.work.in_flight() != reported.work
+      || full != reported.is_full(0)
+      || grants_only != (reported.waiting > self.slots())
   }
 }
 
@@ -385,6 +392,7 @@
       "flows": self.flows.len(),
       "forgetful_ms": recovering.as_millis() as u64,
       "closed": self.is_closed(now),
+      "demand": self.grants.dump(),
       "granted": self.grants.reserved(),
       "leaving": self.leaving,
       "load": self.load(now),
--- a/src/datagram/agent/restarting.rs
+++ b/src/datagram/agent/restarting.rs
@@ -81,7 +81,7 @@
   pub(super) fn upstream_restarted(&mut self) {
     log::info!(flows = self.flows.len(); "agent: upstream has restarted.");
     self.work = Work::default();
-    self.grants = Grants::default();
+    self.grants = Grants::new(self.tuning.overload.enabled);
     self.awaiting_request.clear();
     for entry in self.flows.values_mut() {
       entry.awaits_request = false;
--- a/src/datagram/balancer/frames.rs
+++ b/src/datagram/balancer/frames.rs
@@ -37,7 +37,7 @@
       | Frame::Restore { .. }
       | Frame::Test { .. } => return Err(Code::FrameWrongTarget),
       Frame::Found { flow, service } => self.complete_search(now, from, flow, service, out),
-      Frame::Grant(load) => self.accept_grant(now, from, load, out),
+      Frame::Grant { load, priority } => self.accept_grant(now, from, load, priority, out),
       Frame::Handover { flows, part, parts } => {
         let handover = self.handovers.entry(from).or_default();
         handover.add_part(now, part, parts, flows);
@@ -79,6 +79,9 @@
       return;
     };
     let change = self.targets.record_status(now, from, status, load);
+    if load.waiting > 0 {
+      self.record_answer(from);
+    }
     if change == IncarnationChange::Restarted {
       self.restore_flows(now, from, out);
     }
--- a/src/datagram/balancer/granted.rs
+++ b/src/datagram/balancer/granted.rs
@@ -1,11 +1,23 @@
 //! Announces the queue to agents and uses the slots that they grant.
 
 use {
-  super::{choosing::Choice, machine::Machine},
-  crate::datagram::{Codec, Frame, Load, Outbox, Service},
+  super::{
+    announced::ClassLength, choosing::Choice, machine::Machine, queue::FlowClass,
+    targets::TargetState,
+  },
+  crate::{
+    config::Presence,
+    datagram::{
+      Codec, Frame, Load, Outbox, Service,
+      frame::{DEMANDS_MAX, Demand, Handling},
+    },
+  },
   std::{net::SocketAddrV4, time::Instant},
 };
 
+/// Priorities from this on are counted together in metrics.
+const COUNTED_PRIORITY_MAX: u8 = 7;
+
 impl<C: Codec> Machine<C> {
   /// Uses a slot that an agent has reserved for a queued flow, or returns it if it cannot be
   /// used.
@@ -14,28 +26,82 @@
     now: Instant,
     from: SocketAddrV4,
     load: Load,
+    priority: u8,
     out: &mut Outbox,
   ) {
     self.targets.record_load(now, from, load);
+    self.record_answer(from);
     let Some(service) = self.targets.service(from).cloned() else {
       return;
     };
-    if self.targets.serves(now, from) && self.use_grant(now, from, &service, out) {
+    if self.targets.serves(now, from) && self.use_grant(now, from, &service, priority, out) {
+      if self.tuning.overload.enabled && !self.queue.has_flows(&service) {
+        self.announced.clear(&service);
+      }
       return;
     }
     let frame = Frame::Backlog {
-      flows: 0,
       service: service.digest(),
+      classes: Vec::new(),
     };
     out.frame(from, &frame, &[]);
   }
 
-  /// Sends a queued flow to a target that has reserved a slot; false if none is queued.
+  /// Records that an agent shows that it knows of waiting flows.
+  pub(super) fn record_answer(&mut self, agent: SocketAddrV4) {
+    if let Some(service) = self.targets.service(agent) {
+      self.announced.record_answer(service);
+    }
+  }
+
+  /// Whether queued flows of a service wait for a grant, whatever loads are known: its agents grant,
+  /// or have not had the time to answer.
+  pub(super) fn awaits_grant(&self, now: Instant, service: &Service) -> bool {
+    self.tuning.overload.enabled && !self.announced.is_unanswered(now, service)
+  }
+
+  /// Whether a new flow of a service is queued although nothing is known to wait here: flows wait
+  /// elsewhere, and each has the same chance for the next free slot.
+  pub(super) fn must_compete(&self, now: Instant, service: &Service) -> bool {
+    let agents = self.targets.services.get(service).into_iter().flatten();
+    let mut targets = agents.filter_map(|agent| self.targets.by_agent.get(agent));
+    self.awaits_grant(now, service)
+      && targets.any(|target| target.service == *service && self.is_contended(now, target))
+  }
+
+  /// Whether a live target reports that more flows wait than it has slots.
+  fn is_contended(&self, now: Instant, target: &TargetState) -> bool {
+    let is_live = target.removed.is_none()
+      && target.presence == Presence::Live
+      && !target.stopping
+      && !target.load.down
+      && self.targets.is_alive(now, target);
+    is_live && target.load.waiting > target.slots
+  }
+
+  /// How an agent is to open a flow that is sent there.
+  pub(super) fn opening_handling(
+    &self,
+    now: Instant,
+    service: &Service,
+    is_granted: bool,
+  ) -> Handling {
+    let is_unanswered = self.tuning.overload.enabled && !self.awaits_grant(now, service);
+    if is_unanswered && !is_granted {
+      Handling::OpenUngranted
+    } else {
+      Handling::Open
+    }
+  }
+
+  /// Sends a queued flow to a target that has reserved a slot for a class; false if none is queued.
+  /// If none of the class is, a flow of another one is sent, of the highest priority first.
   fn use_grant(
     &mut self,
     now: Instant,
     agent: SocketAddrV4,
     service: &Service,
+    priority: u8,
     out: &mut Outbox,
   ) -> bool {
     let Some(choice) = self.targets.choice(agent) else {
@@ -45,10 +111,16 @@
       is_granted: true,
       ..choice
     };
-    for class in self.queue.classes(service) {
+    let mut classes = self.queue.classes(service);
+    if self.tuning.overload.enabled {
+      classes.sort_by_key(|class| class.priority != priority);
+    }
+    for class in classes {
       self.expire_queued(now, &class, out);
       while let Some(queued) = self.most_urgent(now, &class, &choice) {
         if self.send_queued(now, &class, queued, choice, out) {
+          let counted = class.priority.min(COUNTED_PRIORITY_MAX);
+          self.counter.add(&format!("queue.granted.{counted}"), 1);
           return true;
         }
       }
@@ -56,22 +128,66 @@
     false
   }
 
-  /// Sends the length of a service's queue to its agents, which reserve slots then.
+  /// Sends the lengths of a service's queues to its agents, which reserve slots then.
   pub(super) fn announce(&mut self, now: Instant, service: &Service, out: &mut Outbox) {
-    let flows = self.queue.len(service);
-    if flows == 0 {
-      self.announced.remove(service);
+    let classes = self.queue.classes(service);
+    if classes.is_empty() {
+      self.announced.clear(service);
       return;
     }
-    if !self.announced.is_due(now, service, flows) {
+    if !self
+      .announced
+      .is_due(now, service, &self.class_lengths(&classes))
+    {
       return;
     }
     let frame = Frame::Backlog {
-      flows: flows.min(usize::from(u16::MAX)) as u16,
       service: service.digest(),
+      classes: self.demands(now, &classes),
     };
     for agent in self.targets.serving(now, service) {
       out.frame(agent, &frame, &[]);
     }
   }
+
+  /// The lengths whose change is reported at once: those of all classes, or of all together.
+  fn class_lengths(&self, classes: &[FlowClass]) -> Vec<ClassLength> {
+    let lengths = classes
+      .iter()
+      .map(|class| (class.priority, self.queue.flows(class)));
+    if self.tuning.overload.enabled {
+      return lengths.collect();
+    }
+    vec![(0, lengths.map(|(_, flows)| flows).sum())]
+  }
+
+  /// The flows of each class for a report. The lowest of too many classes are counted in the last
+  /// entry.
+  fn demands(&self, now: Instant, classes: &[FlowClass]) -> Vec<Demand> {
+    let mut demands = Vec::<Demand>::new();
+    for class in classes {
+      let demand = self.demand(now, class);
+      match demands.get_mut(DEMANDS_MAX - 1) {
+        Some(last) => last.add(&demand),
+        None => demands.push(demand),
+      }
+    }
+    demands
+  }
+
+  fn demand(&self, now: Instant, class: &FlowClass) -> Demand {
+    let oldest = self.queue.oldest(class);
+    let age = oldest.map(|(first, _)| now.saturating_duration_since(first));
+    Demand {
+      priority: class.priority,
+      flows: to_u16(self.queue.flows(class)),
+      callers: to_u16(self.queue.callers(class)),
+      oldest_ms: to_u16(age.unwrap_or_default().as_millis() as usize),
+    }
+  }
+}
+
+/// The number, or the greatest that a report can hold.
+fn to_u16(number: usize) -> u16 {
+  number.min(usize::from(u16::MAX)) as u16
 }
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -123,7 +123,10 @@
     };
     // While flows are queued, known loads are out of date, and targets would refuse a new flow: it
     // joins the queue.
-    if self.queue.has_flows(service) || self.is_too_long(&flow, service, choice.wait_ms) {
+    if self.queue.has_flows(service)
+      || self.must_compete(now, service)
+      || self.is_too_long(&flow, service, choice.wait_ms)
+    {
       return self.enqueue(now, flow, service, opening, Some(choice), out);
     }
     self.send_to(now, flow, service, opening, choice, out);
@@ -157,8 +160,9 @@
     opening.deadline = now + self.open_timeout.wait();
     self.targets.count_opening(agent);
     self.opening_deadlines.insert((opening.deadline, flow));
+    let handling = self.opening_handling(now, service, is_granted);
     let service = service.digest();
-    self.carry(agent, Handling::Open, service, &opening.packet, out);
+    self.carry(agent, handling, service, &opening.packet, out);
     let place = Place {
       agent,
       last_packet: now,
@@ -301,6 +305,7 @@
       "balancer: flow was refused by the agent."
     );
     self.targets.record_load(now, from, load);
+    self.record_answer(from);
     match refusal {
       Refusal::Busy | Refusal::Cold | Refusal::Leaving => {}
       Refusal::Closed => self.targets.record_closed(now, from),
--- a/src/datagram/balancer/queue.rs
+++ b/src/datagram/balancer/queue.rs
@@ -1,7 +1,7 @@
 use {
   crate::datagram::{Flow, Service},
   std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     net::{Ipv4Addr, SocketAddrV4},
     time::{Duration, Instant},
   },
@@ -70,6 +70,18 @@
     classes.cloned().collect()
   }
 
+  /// How many flows of a class are queued.
+  pub fn flows(&self, class: &FlowClass) -> usize {
+    self.queued.get(class).map_or(0, BTreeSet::len)
+  }
+
+  /// How many callers have queued flows of a class.
+  pub fn callers(&self, class: &FlowClass) -> usize {
+    let flows = self.queued.get(class).into_iter().flatten();
+    let callers = flows.map(|(_, flow)| flow.caller.ip());
+    callers.collect::<HashSet<_>>().len()
+  }
+
   /// How many flows of a service are queued.
   pub fn len(&self, service: &Service) -> usize {
     let classes = self.queued.iter();
--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -85,7 +85,9 @@
   pub(super) fn place_queued(&mut self, now: Instant, out: &mut Outbox) {
     for class in self.queue.due(now) {
       self.expire_queued(now, &class, out);
-      while let Some((queued, choice)) = self.next_queued(now, &class) {
+      while !self.awaits_grant(now, &class.service)
+        && let Some((queued, choice)) = self.next_queued(now, &class)
+      {
         let _ = self.send_queued(now, &class, queued, choice, out);
       }
       self.announce(now, &class.service, out);
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -25,6 +25,9 @@
   (DATAGRAM.saturating_sub(packet) / AGENT).max(1)
 }
 
+/// The most classes in one backlog; the flows of further ones are counted in the last.
+pub const DEMANDS_MAX: usize = 8;
+
 /// The most flows in one query: it fits in a datagram of 1,500 bytes.
 pub const QUERY_MAX: usize = 48;
 
@@ -37,6 +40,39 @@
   Open,
   /// Test with the packet whether the upstream owns the flow, and report the result.
   Test,
+  // Variants are encoded by their position: new ones are appended.
+  /// Open the flow, although no slot is granted: the balancer has announced queued flows, and no
+  /// agent has answered.
+  OpenUngranted,
+}
+
+impl Handling {
+  /// Whether the packet is to open its flow.
+  pub fn opens(self) -> bool {
+    matches!(self, Self::Open | Self::OpenUngranted)
+  }
+}
+
+/// The new flows of one class that are queued in a balancer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Demand {
+  /// The priority of the class; 0 is the highest.
+  pub priority: u8,
+  /// The number of flows.
+  pub flows: u16,
+  /// The number of callers that these flows belong to.
+  pub callers: u16,
+  /// How long ago the oldest flow was first sent by its caller, in milliseconds.
+  pub oldest_ms: u16,
+}
+
+impl Demand {
+  /// Counts the flows of another class in this one.
+  pub fn add(&mut self, other: &Self) {
+    self.flows = self.flows.saturating_add(other.flows);
+    self.callers = self.callers.saturating_add(other.callers);
+    self.oldest_ms = self.oldest_ms.max(other.oldest_ms);
+  }
 }
 
 /// What an agent knows about the targets that may own a flow instead of it.
@@ -187,13 +223,19 @@
   // Variants are encoded by their position: new ones are appended.
   /// Reports new flows that are queued in the balancer for a target of the service.
   Backlog {
-    /// The number of queued flows; 0 releases the slots that the agent has granted to the balancer.
-    flows: u16,
     /// The service.
     service: Digest,
+    /// The classes that have queued flows, the highest priority first, at most `DEMANDS_MAX`. None
+    /// releases the slots that the agent has granted to the balancer.
+    classes: Vec<Demand>,
   },
   /// The agent reserves a slot for one of the balancer's queued flows.
-  Grant(Load),
+  Grant {
+    /// The upstream's load.
+    load: Load,
+    /// The priority of the class that the slot is for.
+    priority: u8,
+  },
   /// The flow table of an agent that is stopping; sent by it to balancers, and by them to its next
   /// incarnation.
   Handover {
--- a/tests/datagram/cold.rs
+++ b/tests/datagram/cold.rs
@@ -11,7 +11,7 @@
   assert_matches::assert_matches,
   fallwell::datagram::{
     Frame, Load, Record,
-    frame::{Handling, Refusal},
+    frame::{Demand, Handling, Refusal},
   },
   std::time::Duration,
 };
@@ -183,11 +183,16 @@
     agent.packet(back);
   }
   let backlog = Frame::Backlog {
-    flows: 9,
     service: digest("a"),
+    classes: vec![Demand {
+      priority: 1,
+      flows: 9,
+      callers: 9,
+      oldest_ms: 0,
+    }],
   };
   let sent = agent.frame(2, &backlog, &[]);
-  assert_matches!(&sent[..], [Sent::Frame(to, Frame::Grant(_), _)] if *to == peer(2));
+  assert_matches!(&sent[..], [Sent::Frame(to, Frame::Grant { .. }, _)] if *to == peer(2));
   // The slot is reserved for the balancer that it was granted to.
   assert!(!try_open(&mut agent, 1, 90));
   assert!(try_open(&mut agent, 2, 91));
--- a/tests/datagram/evacuations.rs
+++ b/tests/datagram/evacuations.rs
@@ -15,7 +15,7 @@
     config::Presence,
     datagram::{
       Catalog, Frame, Load, Update,
-      frame::{Handling, Refusal},
+      frame::{Demand, Handling, Refusal},
     },
   },
   std::time::{Duration, Instant},
@@ -253,8 +253,13 @@
   let mut agent = agent();
   agent.platform(update(Some(2), 3, &[evacuation(3, LOCAL, true)]));
   let backlog = Frame::Backlog {
-    flows: 9,
     service: digest("a"),
+    classes: vec![Demand {
+      priority: 1,
+      flows: 9,
+      callers: 9,
+      oldest_ms: 0,
+    }],
   };
   assert_eq!(agent.frame(1, &backlog, &[]), []);
 }
--- a/tests/datagram/grants.rs
+++ b/tests/datagram/grants.rs
@@ -12,7 +12,7 @@
     config::Presence,
     datagram::{
       Frame, Load,
-      frame::{Handling, Refusal},
+      frame::{Demand, Handling, Refusal},
     },
   },
   std::{net::SocketAddrV4, time::Duration},
@@ -22,14 +22,35 @@
 const GRANTS_MAX: usize = 6;
 
 fn backlog(flows: u16) -> Frame {
+  backlog_of(if flows == 0 {
+    vec![]
+  } else {
+    vec![demand(1, flows, flows)]
+  })
+}
+
+fn backlog_of(classes: Vec<Demand>) -> Frame {
   let service = digest("a");
-  Frame::Backlog { flows, service }
+  Frame::Backlog { service, classes }
+}
+
+fn demand(priority: u8, flows: u16, callers: u16) -> Demand {
+  Demand {
+    priority,
+    flows,
+    callers,
+    oldest_ms: 0,
+  }
+}
+
+fn grant(load: Load) -> Frame {
+  Frame::Grant { load, priority: 1 }
 }
 
 /// The balancers that were granted a slot, in order.
 fn granted(sent: &[Sent]) -> Vec<SocketAddrV4> {
   let frames = sent.iter().filter_map(|sent| match sent {
-    Sent::Frame(to, Frame::Grant(_), _) => Some(*to),
+    Sent::Frame(to, Frame::Grant { .. }, _) => Some(*to),
     _ => None,
   });
   frames.collect()
@@ -132,8 +153,8 @@
 fn a_backlog_of_another_service_is_granted_nothing() {
   let mut agent = agent();
   let other = Frame::Backlog {
-    flows: 40,
     service: digest("b"),
+    classes: vec![demand(1, 40, 40)],
   };
   assert_eq!(agent.frame(1, &other, &[]), []);
 }
@@ -172,7 +193,10 @@
 /// The backlogs that were sent, by receiver.
 fn backlogs(sent: &[Sent]) -> Vec<(SocketAddrV4, u16)> {
   let frames = sent.iter().filter_map(|sent| match sent {
-    Sent::Frame(to, Frame::Backlog { flows, .. }, _) => Some((*to, *flows)),
+    Sent::Frame(to, Frame::Backlog { classes, .. }, _) => {
+      let flows = classes.iter().map(|demand| demand.flows);
+      Some((*to, flows.sum()))
+    }
     _ => None,
   });
   frames.collect()
@@ -192,10 +216,10 @@
 #[test]
 fn a_grant_opens_a_queued_flow() {
   let mut balancer = balancer_with_queued_flow();
-  let sent = balancer.frame(12, &Frame::Grant(busy(5)), &[]);
+  let sent = balancer.frame(12, &grant(busy(5)), &[]);
   assert_eq!(carried(&sent), [(12, Handling::Open)]);
   // Nothing is queued any more: the next grant is released.
-  let sent = balancer.frame(12, &Frame::Grant(busy(5)), &[]);
+  let sent = balancer.frame(12, &grant(busy(5)), &[]);
   assert_eq!(sent, [Sent::Frame(peer(12), backlog(0), vec![])]);
 }
 
@@ -203,7 +227,7 @@
 fn a_grant_for_a_route_without_the_service_is_released() {
   let mut balancer = balancer_with_queued_flow();
   balancer.platform(update(Some(4), 5, &[configured(5, 2, &[(2, "b")])]));
-  let sent = balancer.frame(12, &Frame::Grant(busy(5)), &[]);
+  let sent = balancer.frame(12, &grant(busy(5)), &[]);
   assert_eq!(carried(&sent), []);
   assert_eq!(backlogs(&sent), [(peer(12), 0)]);
 }
@@ -213,7 +237,7 @@
   let mut balancer = balancer_with_queued_flow();
   let leaving = listed(5, "up-12", 12, "a", Presence::Leaving);
   balancer.platform(update(Some(4), 5, &[leaving]));
-  let sent = balancer.frame(12, &Frame::Grant(Load::default()), &[]);
+  let sent = balancer.frame(12, &grant(Load::default()), &[]);
   assert_eq!(carried(&sent), []);
 }
 
@@ -232,6 +256,6 @@
   feed_status(&mut balancer, 13, 1, load(1, 600));
   assert_eq!(balancer.packet(Packet::open(flow(1, 1), 0)), []);
   // It fails each request at once, so that it always has free slots.
-  let sent = balancer.frame(13, &Frame::Grant(load(1, 0)), &[]);
+  let sent = balancer.frame(13, &grant(load(1, 0)), &[]);
   assert_eq!(carried(&sent), []);
 }
--- a/tests/datagram/waiting.rs
+++ b/tests/datagram/waiting.rs
@@ -275,7 +275,8 @@
 
 /// Feeds a grant from host 12, which has `work` requests. Returns the flow that uses it.
 fn grant(balancer: &mut Balancer, work: u16) -> Vec<Flow> {
-  opened_flows(&balancer.frame(12, &Frame::Grant(busy(work)), &[]))
+  let load = busy(work);
+  opened_flows(&balancer.frame(12, &Frame::Grant { load, priority: 1 }, &[]))
 }
 
 #[test]
