Test grants by class

Tests of the agent and the balancer with the overload switch on, a replayed load and two properties of the schedule. Two bring about a failure: a balancer that dies with flows queued, and agents that answer no report.

--- a/tests/datagram/grants.rs
+++ b/tests/datagram/grants.rs
@@ -4,18 +4,30 @@
 use {
   crate::{
     balancing::{Balancer, balancer, busy, carried, feed_status},
-    plain::Packet,
-    support::{Agent, Sent, agent, carry, configured, digest, flow, listed, peer, update},
+    plain::{Packet, Plain},
+    support::{
+      Agent, Sent, agent, carry, configuration, configured, configured_first, digest, flow, listed,
+      peer, route, settings, update, upstream,
+    },
   },
   assert_matches::assert_matches,
   fallwell::{
+    Revision,
     config::Presence,
     datagram::{
-      Frame, Load,
+      Frame, Load, Overload, Record, Settings, Tuning, Upstream,
+      agent::{self, Bid, Schedule},
+      balancer,
       frame::{Demand, Handling, Refusal},
     },
   },
-  std::{net::SocketAddrV4, time::Duration},
+  proptest::prelude::*,
+  std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddrV4,
+    sync::Arc,
+    time::Duration,
+  },
 };
 
 /// How many requests are granted at an upstream with 4 slots: one more for every two slots.
@@ -259,3 +271,392 @@
   let sent = balancer.frame(13, &grant(load(1, 0)), &[]);
   assert_eq!(carried(&sent), []);
 }
+
+/// Settings with which classes and callers decide who gets a slot.
+fn overload() -> Tuning {
+  Tuning {
+    overload: Overload { enabled: true },
+    ..Tuning::default()
+  }
+}
+
+/// An agent like `agent()`, with `overload()`.
+fn agent_by_class() -> Agent {
+  let mut agent = agent();
+  let place = Upstream {
+    address: upstream(9),
+    outbound: upstream(10),
+    service: "a".parse().expect("a name"),
+  };
+  let (counter, settings) = (Arc::default(), settings(9));
+  let settings = Settings {
+    first_start: true,
+    ..settings
+  };
+  agent.machine = agent::Machine::new(agent.now, &settings, place, overload(), Plain, 1, counter);
+  let records = [
+    configured_first(1, 1, &[(1, "a"), (3, "a")], 3),
+    listed(2, "up", 9, "a", Presence::Live),
+  ];
+  agent.platform(update(None, 2, &records));
+  agent
+}
+
+/// A balancer with `overload()` and two targets of service `a`; route 3 has precedence.
+fn balancer_by_class() -> Balancer {
+  let mut balancer = balancer();
+  let (counter, settings) = (Arc::default(), settings(1));
+  balancer.machine = balancer::Machine::new(balancer.now, &settings, overload(), Plain, 1, counter);
+  let records = [
+    configured_first(1, 1, &[(1, "a"), (3, "a")], 3),
+    listed(2, "up-11", 11, "a", Presence::Live),
+    listed(3, "up-12", 12, "a", Presence::Live),
+  ];
+  balancer.platform(update(None, 3, &records));
+  balancer
+}
+
+/// A load of `work` requests at the upstream and `waiting` flows in balancers.
+fn contended(work: u16, waiting: u16) -> Load {
+  Load {
+    waiting,
+    ..busy(work)
+  }
+}
+
+/// Feeds the loads of both targets.
+fn feed_loads(balancer: &mut Balancer, load: Load) {
+  for host in [11, 12] {
+    feed_status(balancer, host, 1, load);
+  }
+}
+
+/// The grants that were sent: to whom, for which priority, and the number of waiting flows.
+fn classes_granted(sent: &[Sent]) -> Vec<(SocketAddrV4, u8, u16)> {
+  let frames = sent.iter().filter_map(|sent| match sent {
+    Sent::Frame(to, Frame::Grant { load, priority }, _) => Some((*to, *priority, load.waiting)),
+    _ => None,
+  });
+  frames.collect()
+}
+
+fn is_busy(sent: &[Sent]) -> bool {
+  let busy = |sent: &Sent| matches!(sent, Sent::Frame(_, Frame::Refused(_, Refusal::Busy, _), _));
+  sent.iter().any(busy)
+}
+
+/// Guards against a priority that ends at the balancer: the longest queue got the slots.
+#[test]
+fn slots_go_to_the_highest_class_wherever_it_waits() {
+  let mut agent = agent_by_class();
+  // All slots are in use before the classes compete.
+  agent.frame(3, &backlog_of(vec![demand(1, 6, 6)]), &[]);
+  for port in 1..=6 {
+    open(&mut agent, 3, port);
+  }
+  agent.frame(1, &backlog_of(vec![demand(1, 40, 40)]), &[]);
+  agent.frame(2, &backlog_of(vec![demand(0, 2, 2), demand(1, 1, 1)]), &[]);
+  let mut to = Vec::new();
+  for port in 1..=3 {
+    let returned = Packet {
+      returned: true,
+      ..Packet::open(flow(port, 1), 0)
+    };
+    to.extend(classes_granted(&agent.packet(returned)));
+  }
+  assert_eq!(to, [(peer(2), 0, 43), (peer(2), 0, 43), (peer(1), 1, 43)]);
+}
+
+/// Guards against a caller with many flows counting as many callers.
+#[test]
+fn a_balancer_weighs_as_much_as_its_callers() {
+  let mut agent = agent_by_class();
+  agent.frame(3, &backlog_of(vec![demand(1, 6, 6)]), &[]);
+  agent.frame(1, &backlog_of(vec![demand(1, 100, 1)]), &[]);
+  agent.frame(2, &backlog_of(vec![demand(1, 5, 5)]), &[]);
+  // The slots of the third become free at once.
+  let to = granted(&agent.frame(3, &backlog(0), &[]));
+  let second = to.iter().filter(|to| **to == peer(2)).count();
+  assert_eq!((to.len(), second), (GRANTS_MAX, 5));
+}
+
+/// Guards against flows that jump the queue of all others at a busy target.
+#[test]
+fn flows_without_a_grant_are_refused_while_more_wait_than_there_are_slots() {
+  let mut agent = agent_by_class();
+  agent.frame(1, &backlog(5), &[]);
+  assert!(is_busy(&open(&mut agent, 2, 1)));
+  // A balancer that hears from no agent is refused by the load alone.
+  let packet = Packet::open(flow(1, 1), 0).write();
+  let sent = agent.frame(2, &carry(Handling::OpenUngranted), &packet);
+  assert_matches!(sent[..], [Sent::Upstream(_)]);
+  assert_matches!(open(&mut agent, 1, 3)[..], [Sent::Upstream(_)]);
+  // Now 4 wait.
+  assert_matches!(open(&mut agent, 2, 4)[..], [Sent::Upstream(_)]);
+}
+
+/// Guards against a grant that a retransmission uses up.
+#[test]
+fn a_retransmission_uses_no_slot() {
+  let mut agent = agent_by_class();
+  open(&mut agent, 1, 1);
+  agent.frame(1, &backlog(1), &[]);
+  open(&mut agent, 1, 1);
+  assert_eq!(granted(&agent.frame(1, &backlog(1), &[])), []);
+}
+
+/// Failure: a balancer dies with flows queued. Guards against slots that stay reserved for it until
+/// its backlog expires.
+#[test]
+fn a_dead_balancer_is_granted_no_more_than_three_slots_in_a_row() {
+  let mut agent = agent_by_class();
+  agent.frame(1, &backlog(1), &[]);
+  let mut again = 0;
+  for _ in 0..4 {
+    again += granted(&agent.pass(Duration::from_millis(25))).len();
+  }
+  assert_eq!(again, 2);
+  // It has restarted, and reports again.
+  assert_eq!(granted(&agent.frame(1, &backlog(1), &[])), [peer(1)]);
+}
+
+/// The classes of the backlog that was sent to the first target.
+fn demands(sent: &[Sent]) -> Option<Vec<(u8, u16, u16)>> {
+  sent.iter().find_map(|sent| match sent {
+    Sent::Frame(to, Frame::Backlog { classes, .. }, _) if *to == peer(11) => {
+      let classes = classes.iter();
+      Some(
+        classes
+          .map(|demand| (demand.priority, demand.flows, demand.callers))
+          .collect(),
+      )
+    }
+    _ => None,
+  })
+}
+
+#[test]
+fn a_backlog_names_the_flows_and_callers_of_each_class() {
+  let mut balancer = balancer_by_class();
+  feed_loads(&mut balancer, busy(24));
+  for (port, route) in [(1, 1), (2, 1), (3, 3)] {
+    balancer.packet(Packet::open(flow(port, route), 0));
+  }
+  let sent = balancer.pass(Duration::ZERO);
+  assert_eq!(demands(&sent), Some(vec![(0, 1, 1), (1, 2, 1)]));
+  // Another class has doubled, although the number of all flows has not.
+  balancer.packet(Packet::open(flow(4, 3), 0));
+  let sent = balancer.pass(Duration::from_millis(5));
+  assert_eq!(demands(&sent), Some(vec![(0, 2, 1), (1, 2, 1)]));
+}
+
+/// Guards against a frame that grows with the number of priorities.
+#[test]
+fn the_lowest_of_many_classes_are_counted_together() {
+  let mut balancer = balancer_by_class();
+  let routes = (1..=10).map(|number| (number, "a")).collect::<Vec<_>>();
+  let mut configuration = configuration(2, &routes);
+  for (priority, route) in configuration.routes.values_mut().enumerate() {
+    route.priority = priority as u8;
+  }
+  let revision = Revision(4);
+  let record = Record::Configuration {
+    configuration,
+    revision,
+  };
+  balancer.platform(update(Some(3), 4, &[record]));
+  feed_loads(&mut balancer, busy(24));
+  for number in 1..=10 {
+    balancer.packet(Packet::open(flow(1, number), 0));
+  }
+  let classes = demands(&balancer.pass(Duration::ZERO)).expect("a backlog");
+  assert_eq!((classes.len(), classes[7]), (8, (7, 3, 3)));
+}
+
+#[test]
+fn a_grant_is_used_for_its_class_or_else_for_the_most_urgent() {
+  let mut balancer = balancer_by_class();
+  feed_loads(&mut balancer, busy(24));
+  for (port, route) in [(1, 3), (2, 1), (3, 3)] {
+    balancer.packet(Packet::open(flow(port, route), 0));
+  }
+  let mut routes = Vec::new();
+  for _ in 0..3 {
+    let sent = balancer.frame(12, &grant(busy(5)), &[]);
+    routes.extend(sent.iter().filter_map(|sent| match sent {
+      Sent::Frame(_, Frame::Carry { .. }, packet) => Packet::read(packet).ok(),
+      _ => None,
+    }));
+  }
+  let routes = routes.iter().map(|packet| packet.flow.route);
+  assert_eq!(routes.collect::<Vec<_>>(), [route(1), route(3), route(3)]);
+}
+
+/// Guards against a balancer with an empty queue that sends straight to targets for which flows wait
+/// elsewhere.
+#[test]
+fn a_new_flow_waits_for_a_grant_while_flows_wait_elsewhere() {
+  let mut balancer = balancer_by_class();
+  feed_loads(&mut balancer, contended(0, 4));
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  assert_eq!(carried(&sent), [(carried(&sent)[0].0, Handling::Open)]);
+  feed_status(&mut balancer, 12, 1, contended(0, 5));
+  assert_eq!(balancer.packet(Packet::open(flow(2, 1), 0)), []);
+  // Loads that are known do not place it: another balancer may be granted the slot.
+  let sent = balancer.pass(Duration::from_millis(5));
+  assert_eq!((carried(&sent), backlogs(&sent).len()), (vec![], 2));
+  let sent = balancer.frame(11, &grant(contended(0, 5)), &[]);
+  assert_eq!(carried(&sent), [(11, Handling::Open)]);
+}
+
+/// Guards against a second refusal of a flow that could not have been opened elsewhere either.
+#[test]
+fn a_flow_that_was_refused_while_others_wait_is_queued() {
+  let mut balancer = balancer_by_class();
+  feed_loads(&mut balancer, busy(0));
+  let sent = balancer.packet(Packet::open(flow(1, 1), 0));
+  let (host, _) = carried(&sent)[0];
+  let refused = Frame::Refused(flow(1, 1), Refusal::Busy, contended(2, 5));
+  assert_eq!(balancer.frame(host, &refused, &[]), []);
+  assert_eq!(balancer.packet(Packet::open(flow(1, 1), 1)), []);
+}
+
+/// Failure: all agents of the service are cut off or have restarted, and grant nothing. Guards
+/// against flows that wait for grants until their callers give up.
+#[test]
+fn flows_are_placed_by_loads_if_no_agent_answers() {
+  let mut balancer = balancer_by_class();
+  feed_loads(&mut balancer, contended(0, 5));
+  balancer.packet(Packet::open(flow(1, 1), 0));
+  balancer.pass(Duration::ZERO);
+  assert_eq!(carried(&balancer.pass(Duration::from_millis(55))), []);
+  // One answers, so that there is hope for a grant.
+  feed_status(&mut balancer, 12, 1, contended(0, 5));
+  assert_eq!(carried(&balancer.pass(Duration::from_millis(50))), []);
+  let sent = balancer.pass(Duration::from_millis(65));
+  let ungranted = |sent: &[Sent]| matches!(carried(sent)[..], [(_, Handling::OpenUngranted)]);
+  assert!(ungranted(&sent), "{sent:?}");
+  assert!(ungranted(&balancer.packet(Packet::open(flow(2, 1), 0))));
+  feed_status(&mut balancer, 12, 1, contended(0, 5));
+  assert_eq!(balancer.packet(Packet::open(flow(3, 1), 0)), []);
+}
+
+fn bid(balancer: u8, priority: u8, callers: u16) -> Bid {
+  Bid {
+    balancer: peer(balancer),
+    callers,
+    flows: callers,
+    granted: 0,
+    priority,
+  }
+}
+
+/// Replays 4 s at a target that serves 100 flows a second: two balancers with 30 and 120 flows a
+/// second of priority 1, one of them also with 40 of priority 0. Guards against a chance that
+/// depends on where a caller enters, and against a lower class that gets nothing.
+#[test]
+fn callers_of_a_class_have_the_same_chance_in_a_replayed_load() {
+  let arrivals = [(1, 0, 25), (1, 1, 33), (2, 1, 8)];
+  let mut queues = BTreeMap::<(u8, u8), VecDeque<u32>>::new();
+  let mut schedule = Schedule::default();
+  let mut granted = BTreeMap::<(u8, u8), (u32, u32)>::new();
+  for ms in 0..4000 {
+    for (balancer, priority, interval) in arrivals {
+      let queue = queues.entry((balancer, priority)).or_default();
+      if ms % interval == 0 {
+        queue.push_back(ms);
+      }
+    }
+    if ms % 10 != 0 {
+      continue;
+    }
+    let bids = queues
+      .iter()
+      .map(|((balancer, priority), queue)| bid(*balancer, *priority, queue.len() as u16));
+    let bids = bids.collect::<Vec<_>>();
+    let Some((to, priority)) = schedule.next(&bids) else {
+      continue;
+    };
+    let key = (to.ip().octets()[3], priority);
+    let since = queues.get_mut(&key).and_then(VecDeque::pop_front);
+    let (count, longest) = granted.entry(key).or_default();
+    *count += 1;
+    *longest = (*longest).max(ms - since.expect("a queued flow"));
+  }
+  let (count, longest) = granted[&(1, 0)];
+  assert!(count >= 159 && longest <= 30, "{count} flows, {longest} ms");
+  let chance = |balancer| {
+    let left = queues[&(balancer, 1)].len() as f64;
+    let (count, _) = granted[&(balancer, 1)];
+    f64::from(count) / (left + f64::from(count))
+  };
+  let (first, second) = (chance(1), chance(2));
+  assert!((first - second).abs() < 0.05, "{first} and {second}");
+}
+
+proptest! {
+  #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+  /// Guards against a slot that no balancer wants, more than one grant in 8 to a lower class, and a
+  /// lower class that starves.
+  #[test]
+  fn one_grant_in_eight_goes_to_a_lower_class(
+    steps in prop::collection::vec(prop::collection::vec((0..4_u16, 0..4_u16), 12), 1..200),
+  ) {
+    let mut schedule = Schedule::default();
+    let mut higher = 7;
+    let mut passed = BTreeMap::<u8, u32>::new();
+    for step in steps {
+      let bids = (0..12_u8).zip(step).map(|(number, (flows, granted))| Bid {
+        granted,
+        ..bid(number % 3, number / 3, flows)
+      });
+      let bids = bids.collect::<Vec<_>>();
+      let wanting = bids.iter().filter(|bid| bid.flows > bid.granted).collect::<Vec<_>>();
+      let next = schedule.next(&bids);
+      prop_assert_eq!(next.is_some(), !wanting.is_empty());
+      let Some((to, priority)) = next else {
+        passed.clear();
+        continue;
+      };
+      prop_assert!(wanting.iter().any(|bid| bid.balancer == to && bid.priority == priority));
+      let highest = wanting[0].priority;
+      if priority == highest {
+        higher += 1;
+      } else {
+        prop_assert!(higher >= 7, "{} grants since the last lower one", higher);
+        higher = 0;
+      }
+      passed.retain(|class, _| wanting.iter().any(|bid| bid.priority == *class));
+      for class in wanting.iter().map(|bid| bid.priority).filter(|class| *class != highest) {
+        passed.entry(class).or_default();
+      }
+      passed.values_mut().for_each(|grants| *grants += 1);
+      passed.remove(&priority);
+      // Three lower classes share each eighth grant.
+      prop_assert!(passed.values().all(|grants| *grants < 8 * 3), "{:?}", passed);
+    }
+  }
+
+  /// Guards against a balancer that gets more than its share by more than one grant.
+  #[test]
+  fn balancers_are_granted_shares_by_their_callers(
+    callers in prop::collection::vec(1..200_u16, 1..16),
+    grants in 1..500_u32,
+  ) {
+    let mut schedule = Schedule::default();
+    let bids = (0..).zip(&callers).map(|(number, callers)| bid(number, 1, *callers));
+    let bids = bids.collect::<Vec<_>>();
+    let mut counts = BTreeMap::<SocketAddrV4, u32>::new();
+    for _ in 0..grants {
+      let (to, _) = schedule.next(&bids).expect("a grant");
+      *counts.entry(to).or_default() += 1;
+    }
+    let total = callers.iter().map(|callers| u32::from(*callers)).sum::<u32>();
+    for (to, count) in counts {
+      let own = bids.iter().find(|bid| bid.balancer == to).expect("its bid");
+      let share = f64::from(grants * u32::from(own.callers)) / f64::from(total);
+      prop_assert!(f64::from(count) < share + 1.001, "{} of {}", count, share);
+    }
+  }
+}
