--- a/src/datagram/agent/grants.rs
+++ b/src/datagram/agent/grants.rs
@@ -297,6 +297,8 @@
     callers: 0,
     oldest_ms: 0,
   };
-  classes.iter().for_each(|demand| all.add(demand));
+  for demand in classes {
+    all.add(demand);
+  }
   all
 }
--- a/tests/datagram/grants.rs
+++ b/tests/datagram/grants.rs
@@ -631,7 +631,9 @@
       for class in wanting.iter().map(|bid| bid.priority).filter(|class| *class != highest) {
         passed.entry(class).or_default();
       }
-      passed.values_mut().for_each(|grants| *grants += 1);
+      for grants in passed.values_mut() {
+        *grants += 1;
+      }
       passed.remove(&priority);
       // Three lower classes share each eighth grant.
       prop_assert!(passed.values().all(|grants| *grants < 8 * 3), "{:?}", passed);
