--- a/src/datagram/agent/grants.rs
+++ b/src/datagram/agent/grants.rs
@@ -291,12 +291,7 @@
 
 /// The flows of all classes as those of the highest priority.
 fn merged(classes: &[Demand]) -> Demand {
-  let mut all = Demand {
-    priority: 0,
-    flows: 0,
-    callers: 0,
-    oldest_ms: 0,
-  };
+  let mut all = Demand::default();
   for demand in classes {
     all.add(demand);
   }
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -54,7 +54,7 @@
 }
 
 /// The new flows of one class that are queued in a balancer.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Demand {
   /// The priority of the class; 0 is the highest.
   pub priority: u8,
