--- a/tests/datagram/grants.rs
+++ b/tests/datagram/grants.rs
@@ -378,10 +378,18 @@
   let sent = agent.frame(2, &carry(Handling::OpenUngranted), &packet);
   assert_matches!(sent[..], [Sent::Upstream(_)]);
   assert_matches!(open(&mut agent, 1, 3)[..], [Sent::Upstream(_)]);
-  // Now 4 wait, and a retransmission does not use a slot that another flow is granted.
+  // Now 4 wait.
   assert_matches!(open(&mut agent, 2, 4)[..], [Sent::Upstream(_)]);
-  open(&mut agent, 1, 3);
-  assert_eq!(granted(&agent.frame(1, &backlog(4), &[])), []);
+}
+
+/// Guards against a grant that the retransmission of another flow uses up.
+#[test]
+fn a_retransmission_uses_no_slot() {
+  let mut agent = agent_by_class();
+  open(&mut agent, 1, 1);
+  agent.frame(1, &backlog(1), &[]);
+  open(&mut agent, 1, 1);
+  assert_eq!(granted(&agent.frame(1, &backlog(1), &[])), []);
 }
 
 /// Failure: a balancer dies with flows queued. Guards against slots that stay reserved for it until
