Grant as many flows as slots answer until a granted one arrives

While only grants open flows, a slot is idle until the granted flow's request has come.

The agent now measures the time from a grant to the opening packet and adds that from there to the first request; it grants what the slots answer meanwhile, for 25 ms at most.

--- a/src/datagram/agent/admission.rs
+++ b/src/datagram/agent/admission.rs
@@ -36,7 +36,9 @@
       // A retransmission uses no slot that is reserved for another flow.
       return None;
     }
-    let granted = self.grants.redeem(packet.balancer, self.priority(flow));
+    let granted = self
+      .grants
+      .redeem(now, packet.balancer, self.priority(flow));
     if known {
       return None;
     }
--- a/src/datagram/agent/granting.rs
+++ b/src/datagram/agent/granting.rs
@@ -1,10 +1,10 @@
 //! Grants free slots of the upstream to balancers that have flows queued.
 
 use {
-  super::machine::Machine,
+  super::{grants::GRANT_TTL, machine::Machine},
   crate::{
     Code,
-    datagram::{Codec, Frame, Outbox, frame::Demand, service::Digest},
+    datagram::{Codec, Frame, Load, Outbox, frame::Demand, service::Digest},
   },
   std::{net::SocketAddrV4, time::Instant},
 };
@@ -55,8 +55,7 @@
     if load.down {
       return;
     }
-    let slots = self.slots();
-    let capacity = slots.saturating_add(slots.div_ceil(SLOTS_PER_EXTRA_GRANT));
+    let capacity = self.slots().saturating_add(self.extra_grants(&load));
     let used = load.work.saturating_add(self.grants.reserved());
     let free = capacity.saturating_sub(used);
     for _ in 0..self.room(now).map_or(free, |room| room.min(free)) {
@@ -67,4 +66,20 @@
       out.frame(balancer, &Frame::Grant { load, priority }, &[]);
     }
   }
+
+  /// How many requests are granted beyond the slots. While only grants open flows, no other request
+  /// fills a slot that is idle until the granted one arrives: as many as the slots answer meanwhile
+  /// are granted. A flow that takes longer than a grant is reserved for counts as one that does not,
+  /// so that a slow caller can't fill the upstream's queue.
+  fn extra_grants(&self, load: &Load) -> u16 {
+    let slots = self.slots();
+    let extra = slots.div_ceil(SLOTS_PER_EXTRA_GRANT);
+    if !self.tuning.overload.enabled {
+      return extra;
+    }
+    let arrival = self.grants.opening_time() + self.first_request_timeout.mean();
+    let arrival_ms = arrival.min(GRANT_TTL).as_secs_f64() * 1000.0;
+    let answered = (f64::from(slots) * arrival_ms / load.time_ms()).ceil();
+    extra.max(answered as u16)
+  }
 }
--- a/src/datagram/agent/grants.rs
+++ b/src/datagram/agent/grants.rs
@@ -1,6 +1,9 @@
 use {
   super::{bid::Bid, schedule::Schedule},
-  crate::datagram::frame::{DEMANDS_MAX, Demand},
+  crate::datagram::{
+    Timeout,
+    frame::{DEMANDS_MAX, Demand},
+  },
   serde_json::json,
   std::{
     collections::{BTreeMap, VecDeque},
@@ -11,7 +14,7 @@
 
 /// How long a granted slot is reserved: longer than a round trip to another data centre and the
 /// time that a busy process takes to handle its packets.
-const GRANT_TTL: Duration = Duration::from_millis(25);
+pub(super) const GRANT_TTL: Duration = Duration::from_millis(25);
 
 /// How long a backlog that a balancer reported counts: longer than three intervals of its reports,
 /// so that two lost ones don't end it.
@@ -115,6 +118,8 @@
   backlogs: BTreeMap<SocketAddrV4, Backlog>,
   /// Whether classes and callers decide who gets a slot, or the number of flows alone.
   by_class: bool,
+  /// The time from a grant to the opening packet that uses it.
+  opening: Timeout,
   /// Reserved slots, the one that lapses first in front.
   reserved: VecDeque<Reserved>,
   schedule: Schedule,
@@ -126,6 +131,7 @@
     Self {
       backlogs: BTreeMap::new(),
       by_class,
+      opening: Timeout::new(Duration::ZERO, Duration::ZERO),
       reserved: VecDeque::new(),
       schedule: Schedule::default(),
     }
@@ -182,6 +188,11 @@
     self.reserved.len().min(usize::from(u16::MAX)) as u16
   }
 
+  /// The mean time from a grant to the opening packet that uses it.
+  pub fn opening_time(&self) -> Duration {
+    self.opening.mean()
+  }
+
   /// The number of flows that wait in all balancers.
   pub fn waiting(&self, now: Instant) -> u16 {
     let backlogs = self.backlogs.values();
@@ -237,7 +248,7 @@
 
   /// Uses a slot that is reserved for the balancer, one of the flow's class if there is one, for a
   /// flow of this priority; false where no slot is reserved.
-  pub fn redeem(&mut self, balancer: SocketAddrV4, priority: u8) -> bool {
+  pub fn redeem(&mut self, now: Instant, balancer: SocketAddrV4, priority: u8) -> bool {
     let slots = self.reserved.iter();
     let own = slots
       .enumerate()
@@ -246,6 +257,8 @@
       return false;
     };
     let reserved_for = slot.priority;
+    let left = slot.until.saturating_duration_since(now);
+    self.opening.observe(GRANT_TTL.saturating_sub(left));
     self.reserved.remove(index);
     if let Some(backlog) = self.backlogs.get_mut(&balancer) {
       backlog.lapses = 0;
--- a/src/datagram/timeout.rs
+++ b/src/datagram/timeout.rs
@@ -30,6 +30,11 @@
     self.mean += WEIGHT * (time - self.mean);
   }
 
+  /// The moving average of the answer times.
+  pub fn mean(&self) -> Duration {
+    Duration::from_secs_f64(self.mean)
+  }
+
   /// The timeout of the next request.
   pub fn wait(&self) -> Duration {
     let wait = Duration::from_secs_f64(FACTOR * self.mean);
