--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -127,7 +127,9 @@
     for class in self.queue.due(now) {
       self.update_capacity(now, &class.service);
       self.expire_queued(now, &class, out);
-      while let Some((queued, choice)) = self.next_queued(now, &class) {
+      while !self.awaits_grant(now, &class.service)
+        && let Some((queued, choice)) = self.next_queued(now, &class)
+      {
         let _ = self.send_queued(now, &class, queued, choice, out);
       }
       self.announce(now, &class.service, out);
