Show a change of a target's speed within five answers, for each kind of work

Cause: an agent's moving average covers 20 answers, so that a target that becomes four times as slow attracts flows for many answers more; requests that hang count only once they are answered; one time stands for all routes of a service.

Change: with overload control, Pace takes the last 5 answers alone where they take twice as long as those before, or half as long. Requests in flight for longer than expected of their kind count as answers. The agent measures each route by itself (Kinds), reports the times (Load::times) and a count of measured answers (Load::answers), and sends a status when its time has doubled or halved. Without overload control no decision changes.

--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -35,6 +35,8 @@
 /// Targets as the platform lists them.
 pub mod target;
 mod timeout;
+/// Decisions about targets that are not equally fast.
+pub mod uneven;
 mod warmup;
 
 pub use {
--- a/src/datagram/agent.rs
+++ b/src/datagram/agent.rs
@@ -11,6 +11,7 @@
 mod grants;
 mod machine;
 mod restarting;
+mod running;
 mod work;
 
 pub use machine::Machine;
--- a/src/datagram/agent/answers.rs
+++ b/src/datagram/agent/answers.rs
@@ -55,7 +55,7 @@
   fn fail_test(&mut self, now: Instant, flow: Flow, out: &mut Outbox) {
     log::info!(flow:% = flow; "agent: upstream reset a flow under test.");
     let entry = self.flows.get(&flow).copied();
-    self.end_work(entry);
+    self.end_work(&flow, entry);
     self.report_absent(now, flow, entry, &[], out);
   }
 
@@ -101,6 +101,7 @@
       return;
     }
     if let Some(since) = entry.unanswered_since.take() {
+      self.work.forget(&flow);
       if head.data > 0 {
         self.work.record_bytes(f64::from(entry.bytes));
         entry.bytes = 0;
@@ -111,7 +112,7 @@
         let time = now.saturating_duration_since(received);
         self
           .work
-          .record_answer(now, time, entry.requests_ahead, self.slots);
+          .record_answer(now, &flow, time, entry.requests_ahead, self.slots);
       } else if head.resets {
         self.work.record_reset(now);
       } else {
@@ -144,7 +145,7 @@
       }
       return;
     }
-    self.end_work(entry);
+    self.end_work(&flow, entry);
     log::info!(
       flow:% = flow, opens = head.opens,
       owned = matches!(entry.map(|entry| entry.state), Some(FlowState::Open)),
@@ -198,7 +199,8 @@
   }
 
   /// Ends the request that the entry counts as in flight, if there is one.
-  fn end_work(&mut self, entry: Option<FlowEntry>) {
+  fn end_work(&mut self, flow: &Flow, entry: Option<FlowEntry>) {
+    self.work.forget(flow);
     if entry.is_some_and(|entry| entry.unanswered_since.is_some() || entry.awaits_request) {
       self.work.end();
     }
--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -140,6 +140,9 @@
       }
       entry.requests_ahead = self.work.in_flight() - 1;
     }
+    if is_newer {
+      self.work.receive(now, flow, entry.requests_ahead);
+    }
     if packet.handling == Handling::Test {
       out.frame(packet.balancer, &found_frame(flow, &self.upstream), &[]);
     }
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -138,7 +138,7 @@
       tests: VecDeque::new(),
       tuning,
       upstream,
-      work: Work::default(),
+      work: Work::new(tuning.overload),
     }
   }
 
@@ -280,7 +280,7 @@
   pub(super) fn load(&self, now: Instant) -> Load {
     Load {
       room: self.room(now),
-      ..self.work.load(now, self.flows.len())
+      ..self.work.load(now, self.flows.len(), self.slots())
     }
   }
 
@@ -319,8 +319,10 @@
     let load = self.load(now);
     let role = Role::Agent(load);
     let before = self.reported_load;
-    let changed =
-      load.work != before.work || load.down != before.down || load.is_full(0) != before.is_full(0);
+    let changed = load.work != before.work
+      || load.down != before.down
+      || load.is_full(0) != before.is_full(0)
+      || (self.tuning.overload.enabled && load.has_other_speed(&before));
     if now >= self.gossip.deadline() || (changed && now >= self.last_report + self.tuning.report) {
       self.last_report = now;
       self.reported_load = load;
@@ -332,7 +334,7 @@
   pub(super) fn expire(&mut self, now: Instant) {
     let idle = self.gossip.idle();
     let work = &mut self.work;
-    self.flows.retain(|_, entry| {
+    self.flows.retain(|flow, entry| {
       let idle_for = now.saturating_duration_since(entry.last_packet);
       let ttl = match entry.state {
         FlowState::Absent => ABSENT_TTL,
@@ -345,6 +347,7 @@
       if counted && (overdue || idle_for >= ttl) {
         entry.awaits_request = false;
         entry.unanswered_since = None;
+        work.forget(flow);
         work.end();
       }
       idle_for < ttl
@@ -373,7 +376,8 @@
     let status = self.gossip.deadline();
     let report = (self.load_changed()).then_some(self.last_report + self.tuning.report);
     let room = self.cold.deadline(self.last_run, self.warmup());
-    [grant, report, request, room, test]
+    let overdue = self.work.overdue_at(self.last_run, self.tuning.report);
+    [grant, overdue, report, request, room, test]
       .into_iter()
       .flatten()
       .fold(status, Instant::min)
--- a/src/datagram/agent/restarting.rs
+++ b/src/datagram/agent/restarting.rs
@@ -80,7 +80,7 @@
   /// opened after the restart.
   pub(super) fn upstream_restarted(&mut self) {
     log::info!(flows = self.flows.len(); "agent: upstream has restarted.");
-    self.work = Work::default();
+    self.work = Work::new(self.tuning.overload);
     self.grants = Grants::default();
     self.awaiting_request.clear();
     for entry in self.flows.values_mut() {
--- a/src/datagram/load.rs
+++ b/src/datagram/load.rs
@@ -1,8 +1,13 @@
-use serde::{Deserialize, Serialize};
+use {
+  super::uneven::Times,
+  serde::{Deserialize, Serialize},
+};
 
 /// The load of a target, as measured by its agent.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
+  /// How many answers were measured, modulo 2^16; 0 where overload control is off.
+  pub answers: u16,
   /// The average size of a request and its answer, in bytes.
   pub bytes: u32,
   /// Whether the upstream answers nothing.
@@ -15,6 +20,8 @@
   pub room: Option<u16>,
   /// The time to process a request that isn't queued, in milliseconds; 0 if unknown.
   pub service_ms: u16,
+  /// The times to process requests of each kind; none where overload control is off.
+  pub times: Times,
   /// The number of flows that are queued in all balancers for the upstream's service, as known to its
   /// agent.
   pub waiting: u16,
@@ -32,6 +39,14 @@
     self.room.is_some_and(|room| room <= pending)
   }
 
+  /// Whether the processing time is at least twice as long as in another load, or half as long: the
+  /// ratio from which a target is relieved. False where either is unknown.
+  pub fn has_other_speed(&self, other: &Self) -> bool {
+    let (one, other) = (self.service_ms, other.service_ms);
+    let (shorter, longer) = (one.min(other), one.max(other));
+    shorter > 0 && longer / 2 >= shorter
+  }
+
   /// The processing time of a request that isn't queued, in milliseconds, measured or assumed.
   pub fn time_ms(&self) -> f64 {
     known_or_default(f64::from(self.service_ms))
--- /dev/null
+++ b/src/datagram/uneven.rs
@@ -0,0 +1,9 @@
+mod kinds;
+mod pace;
+mod times;
+
+pub use {
+  kinds::Kinds,
+  pace::Pace,
+  times::{Kind, Times},
+};
--- a/tests/datagram/main.rs
+++ b/tests/datagram/main.rs
@@ -26,6 +26,7 @@
 mod searching;
 mod sharing;
 mod support;
+mod uneven;
 mod upstream_restarted;
 mod waiting;
 mod weights;
--- a/tests/datagram/support.rs
+++ b/tests/datagram/support.rs
@@ -335,7 +335,8 @@
 }
 
 impl<M: Machine> Harness<M> {
-  fn new(machine: M, now: Instant) -> Self {
+  /// A machine whose clock starts at `now`.
+  pub fn new(machine: M, now: Instant) -> Self {
     Self {
       machine,
       now,
