Relieve slow and failing targets, and let them return by trial

Cause: a slow target got no flow or as many as the others, depending on the load, and all flows of all balancers as soon as its measurements were dropped.

Change: with overload control, a balancer compares the targets of a service at most each 10 ms (Comparison). Relief gives a target that takes more than twice the median, or fails more, its share of new flows in inverse proportion to its ratio, drawn by a hash of the flow; at most a third is relieved. It returns with one request at a time, twice as many with each measured answer. Without overload control no comparison exists and the choice is as before.

A target that takes 4 times as long gets 1 in 21 flows beside five others (within five standard deviations of 2,000 flows).

--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -3,6 +3,7 @@
 
 mod announced;
 mod choosing;
+mod comparison;
 mod cost;
 mod egress;
 mod ending;
--- a/src/datagram/balancer/choosing.rs
+++ b/src/datagram/balancer/choosing.rs
@@ -4,7 +4,7 @@
   super::{
     cost::{Medians, UNAVAILABLE_MS, is_fast_failing},
     place::Tried,
-    targets::Targets,
+    targets::{TargetState, Targets},
   },
   crate::datagram::{Flow, Service},
   smallvec::SmallVec,
@@ -30,6 +30,21 @@
   pub wait_ms: f64,
 }
 
+/// What a target is chosen for.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+  /// The new flow.
+  pub flow: &'a Flow,
+  /// The medians that apply to the flow.
+  pub medians: Medians,
+  /// The time of the choice.
+  pub now: Instant,
+  /// The service that the flow belongs to.
+  pub service: &'a Service,
+  /// The agents that have been tried before.
+  pub tried: &'a Tried,
+}
+
 impl Targets {
   /// The target of the lowest cost for a new flow; local ones cost less than remote ones. If a
   /// request there would not be answered within `limit_ms`, the best target where it would is
@@ -42,8 +57,17 @@
     tried: &Tried,
     limit_ms: f64,
   ) -> Option<Choice> {
-    let medians = self.medians(service);
-    let within = |limit_ms| self.best(now, flow, service, tried, medians, limit_ms);
+    let query = Query {
+      flow,
+      medians: self.medians_for(flow, service),
+      now,
+      service,
+      tried,
+    };
+    if let Some(choice) = self.choose_evenly(&query, limit_ms) {
+      return Some(choice);
+    }
+    let within = |limit_ms| Some(self.best(&query, limit_ms, |_, _| true)?.1);
     let best = within(f64::INFINITY)?;
     if best.wait_ms <= limit_ms {
       return Some(best);
@@ -60,38 +84,40 @@
     })
   }
 
-  /// One of the targets of the lowest cost, among those where a request would be answered within
-  /// `limit_ms`. Equivalent targets are ranked by a hash of the flow.
-  fn best(
+  /// One of the targets of the lowest cost, with its cost, among those that `admits` names and where
+  /// a request would be answered within `limit_ms`. Equivalent targets are ranked by a hash of the
+  /// flow.
+  pub(super) fn best(
     &self,
-    now: Instant,
-    flow: &Flow,
-    service: &Service,
-    tried: &Tried,
-    medians: Medians,
+    query: &Query,
     limit_ms: f64,
-  ) -> Option<Choice> {
-    let agents = self.services.get(service)?.iter();
-    let untried = agents.filter(|agent| !tried.contains(agent));
+    admits: impl Fn(SocketAddrV4, &TargetState) -> bool,
+  ) -> Option<(f64, Choice)> {
+    let Query { medians, now, .. } = *query;
+    let agents = self.services.get(query.service)?.iter();
+    let untried = agents.filter(|agent| !query.tried.contains(agent));
     let costs = untried.filter_map(|agent| {
       let target = self.by_agent.get(agent)?;
-      if target.service != *service {
+      if target.service != *query.service || !admits(*agent, target) {
         return None;
       }
       if medians.wait_ms(target) > limit_ms {
         return None;
       }
       let cost = self.cost(now, target, medians)?;
-      Some((cost, agent))
+      Some((cost, *agent, target.data_centre.as_str()))
     });
-    let costs = costs.collect::<SmallVec<[(f64, &SocketAddrV4); 64]>>();
-    let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
+    let costs = costs.collect::<SmallVec<[(f64, SocketAddrV4, &str); 64]>>();
+    let by_cost = |(one, ..): &&(f64, _, _), (other, ..): &&(f64, _, _)| one.total_cmp(other);
+    let (least, _, nearest) = costs.iter().min_by(by_cost)?;
+    // With overload control, flows cross to another data centre only where that costs less.
+    let is_near = |data_centre| !self.tuning.overload.enabled || data_centre == *nearest;
     let equivalent = costs
       .iter()
-      .filter(|(cost, _)| *cost <= least + COST_TOLERANCE_MS);
-    let key = flow.key();
-    let (_, agent) = equivalent.min_by_key(|(_, agent)| rank(key, **agent))?;
-    self.choice_of(**agent, medians)
+      .filter(|(cost, _, data_centre)| *cost <= least + COST_TOLERANCE_MS && is_near(*data_centre));
+    let key = query.flow.key();
+    let (cost, agent, _) = equivalent.min_by_key(|(_, agent, _)| rank(key, *agent))?;
+    Some((*cost, self.choice_of(*agent, medians)?))
   }
 
   /// The target at an agent as a choice, whatever it costs.
@@ -100,12 +126,11 @@
     self.choice_of(agent, self.medians(service))
   }
 
-  fn choice_of(&self, agent: SocketAddrV4, medians: Medians) -> Option<Choice> {
+  pub(super) fn choice_of(&self, agent: SocketAddrV4, medians: Medians) -> Option<Choice> {
     let target = self.by_agent.get(&agent)?;
     Some(Choice {
       agent,
-      is_free: target.load.work.saturating_add(target.pending) < target.slots
-        && !target.load.is_full(target.pending),
+      is_free: target.in_flight() < target.slots && !target.load.is_full(target.pending),
       is_granted: false,
       wait_ms: medians.wait_ms(target),
     })
--- a/src/datagram/balancer/cost.rs
+++ b/src/datagram/balancer/cost.rs
@@ -4,7 +4,11 @@
   super::targets::{REMOVAL_GRACE, TargetState, Targets},
   crate::{
     config::Presence,
-    datagram::{Service, load::wait_ms},
+    datagram::{
+      Service,
+      load::{queue_ms, wait_ms},
+      uneven::Kind,
+    },
   },
   smallvec::SmallVec,
   std::time::{Duration, Instant},
@@ -43,9 +47,13 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Medians {
   /// The median of the fractions of requests that fail, in percent.
-  failed_percent: u8,
+  pub(super) failed_percent: u8,
+  /// The kind of work of the flow to be placed; none without overload control.
+  pub(super) kind: Option<Kind>,
+  /// The median of the service times of this kind, in milliseconds; 0 if too few are known.
+  pub(super) kind_ms: f64,
   /// The median of the service times, in milliseconds; 0 if too few are known.
-  service_ms: f64,
+  pub(super) service_ms: f64,
 }
 
 impl Medians {
@@ -59,16 +67,25 @@
     }
   }
 
+  /// The service time of the flow's kind of work in milliseconds: as measured there, or else the
+  /// median times the speed of the target; none if unknown.
+  fn kind_ms(&self, target: &TargetState) -> Option<f64> {
+    if let Some(time) = target.load.times.get(self.kind?) {
+      return Some(time.as_secs_f64() * 1000.0);
+    }
+    (self.kind_ms > 0.0).then(|| self.kind_ms * target.speed.unwrap_or(1.0))
+  }
+
   /// How long another request would take to be answered at a target, in milliseconds.
   pub(super) fn wait_ms(&self, target: &TargetState) -> f64 {
     if target.load.is_full(target.pending) {
       return WARMUP_WAIT_MS;
     }
-    wait_ms(
-      self.time_ms(target),
-      target.load.work.saturating_add(target.pending),
-      target.slots,
-    )
+    let (time_ms, work) = (self.time_ms(target), target.in_flight());
+    match self.kind_ms(target) {
+      Some(kind_ms) => kind_ms + queue_ms(time_ms, work, target.slots),
+      None => wait_ms(time_ms, work, target.slots),
+    }
   }
 }
 
@@ -79,6 +96,27 @@
 impl Targets {
   /// The cost of a new flow at a target, in milliseconds; none if the target accepts no new flows.
   pub(super) fn cost(&self, now: Instant, target: &TargetState, medians: Medians) -> Option<f64> {
+    let crossing = if target.data_centre == self.data_centre {
+      0.0
+    } else {
+      self.crossing_ms(target) * target.crossing.part()
+    };
+    Some(self.cost_here(now, target, medians)? + crossing)
+  }
+
+  /// The cost of a flow for a target's being in another data centre, in milliseconds.
+  pub(super) fn crossing_ms(&self, target: &TargetState) -> f64 {
+    let (per_request, per_kilobyte) = (self.tuning.crossing_ms, self.tuning.crossing_ms_per_kb);
+    per_request + per_kilobyte * f64::from(target.load.bytes) / 1024.0
+  }
+
+  /// The cost of a new flow at a target, as if it were in this data centre.
+  pub(super) fn cost_here(
+    &self,
+    now: Instant,
+    target: &TargetState,
+    medians: Medians,
+  ) -> Option<f64> {
     if target.presence == Presence::Leaving || self.evacuations.is_closed(now, &target.data_centre)
     {
       return None;
@@ -101,10 +139,6 @@
       cost += FAST_FAILING_COST_MS;
     }
     cost += failure_cost_ms(target, medians);
-    if target.data_centre != self.data_centre {
-      let (per_request, per_kilobyte) = (self.tuning.crossing_ms, self.tuning.crossing_ms_per_kb);
-      cost += per_request + per_kilobyte * f64::from(target.load.bytes) / 1024.0;
-    }
     let work = f64::from(target.load.work) + f64::from(target.pending);
     Some(cost + medians.wait_ms(target) + UTILISATION_COST_MS * work / f64::from(target.slots))
   }
@@ -122,6 +156,7 @@
     Medians {
       failed_percent: median(&mut failed),
       service_ms: f64::from(median(&mut times)),
+      ..Medians::default()
     }
   }
 }
@@ -129,13 +164,16 @@
 /// Whether a target answers far faster than the median of its service, as one that only answers
 /// errors does.
 pub(super) fn is_fast_failing(target: &TargetState, medians: Medians) -> bool {
+  if let Some(speed) = target.speed {
+    return speed < FAST_FAILING_RATIO;
+  }
   let service_ms = f64::from(target.load.service_ms);
   service_ms > 0.0 && service_ms < medians.service_ms * FAST_FAILING_RATIO
 }
 
 /// The cost of a target that fails more requests than the median of its service, in milliseconds.
 /// It is no exclusion: flows still go there if the others are full or fail too.
-fn failure_cost_ms(target: &TargetState, medians: Medians) -> f64 {
+pub(super) fn failure_cost_ms(target: &TargetState, medians: Medians) -> f64 {
   let excess = target.load.failed.saturating_sub(medians.failed_percent);
   if excess < FAILURE_EXCESS_MIN {
     return 0.0;
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -106,6 +106,7 @@
     mut opening: Opening,
     out: &mut Outbox,
   ) -> Result<(), Code> {
+    self.targets.refresh(now, service);
     let mut choice = self.choose(now, &flow, service, &opening.tried);
     if choice.is_none() && !opening.tried.is_empty() {
       opening.tried.clear();
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -1,11 +1,12 @@
 use {
-  super::evacuations::Evacuations,
+  super::{comparison::Comparison, evacuations::Evacuations},
   crate::{
     config::Presence,
     datagram::{
       Agents, Catalog, Entry, Load, Service, Tuning, Warmup,
       frame::{Status, Tombstone},
       target::StartTime,
+      uneven::Crossing,
     },
   },
   serde_json::json,
@@ -29,8 +30,10 @@
   pub data_centre: String,
   /// When it was removed from the target list.
   pub removed: Option<Instant>,
-  last_heard: Option<Instant>,
+  pub(super) last_heard: Option<Instant>,
   incarnation: Option<u32>,
+  /// Whether its data centre gets new flows of this one.
+  pub(super) crossing: Crossing,
   pub(super) load: Load,
   /// When a flow last failed to open there: it timed out, or the upstream was down, full or of
   /// another service.
@@ -40,7 +43,12 @@
   pub(super) presence: Presence,
   pub(super) service: Service,
   pub(super) slots: u16,
+  /// How many times as long as the median of its service it takes, by kinds of work; none if
+  /// unknown.
+  pub(super) speed: Option<f64>,
   pub(super) stopping: bool,
+  /// Whether this incarnation of the upstream has been measured.
+  pub(super) was_measured: bool,
 }
 
 impl TargetState {
@@ -51,16 +59,24 @@
       removed: None,
       last_heard: None,
       incarnation: None,
+      crossing: Crossing::default(),
       load: Load::default(),
       open_failed: None,
       pending: 0,
       presence: entry.target.presence,
       service: entry.target.service.clone(),
       slots: 1,
+      speed: None,
       stopping: false,
+      was_measured: false,
     }
   }
 
+  /// The number of its requests, with those that are on their way.
+  pub(super) fn in_flight(&self) -> u16 {
+    self.load.work.saturating_add(self.pending)
+  }
+
   fn updated(mut self, entry: &Entry) -> Self {
     if self.removed.is_some() && entry.removed.is_none() {
       self.open_failed = None;
@@ -68,6 +84,8 @@
     if entry.target.start_time > self.start_time {
       // The load of the previous incarnation does not apply to this one.
       self.load = Load::default();
+      self.speed = None;
+      self.was_measured = false;
       self.pending = 0;
       self.open_failed = None;
     }
@@ -107,6 +125,8 @@
 #[derive(Debug)]
 pub struct Targets {
   pub(super) by_agent: BTreeMap<SocketAddrV4, TargetState>,
+  /// What the loads of each service's targets show; empty without overload control.
+  pub(super) comparisons: BTreeMap<Service, Comparison>,
   pub(super) evacuations: Evacuations,
   pub(super) data_centre: String,
   /// Targets that were removed before this process saw them listed, as reported by agents and
@@ -128,6 +148,7 @@
   pub fn new(now: Instant, data_centre: String, port: u16, tuning: &Tuning) -> Self {
     Self {
       by_agent: BTreeMap::new(),
+      comparisons: BTreeMap::new(),
       evacuations: Evacuations::default(),
       data_centre,
       reported_removed: BTreeMap::new(),
@@ -272,6 +293,8 @@
       target.last_heard = Some(now);
       target.load = load;
       target.pending = 0;
+      let service = target.service.clone();
+      self.note_load(now, &service);
     }
   }
 
@@ -297,6 +320,7 @@
     if let Some(target) = self.by_agent.get_mut(&agent) {
       target.pending = target.pending.saturating_add(1);
     }
+    self.note_placed(agent);
   }
 
   /// Clears the record of an opening failure, since the target has opened a flow.
@@ -358,6 +382,7 @@
         "pending": target.pending,
         "presence": target.presence,
         "service": target.service,
+        "speed": target.speed,
         "stopping": target.stopping,
         "unanswered_ms": target.open_failed.map(age),
       })
@@ -407,6 +432,9 @@
         agents.push(*agent);
       }
     }
+    self
+      .comparisons
+      .retain(|service, _| self.services.contains_key(service));
     for (agent, entry) in newest {
       self.unlisted.remove(&agent);
       let target = before
--- a/src/datagram/load.rs
+++ b/src/datagram/load.rs
@@ -56,10 +56,15 @@
 /// The time until an additional request would be answered at a target with `slots` slots, in
 /// milliseconds; `service_ms` is the processing time of one that isn't queued, 0 if unknown.
 pub fn wait_ms(service_ms: f64, work: u16, slots: u16) -> f64 {
+  known_or_default(service_ms) + queue_ms(service_ms, work, slots)
+}
+
+/// The time until a slot is free for an additional request, in milliseconds, as for `wait_ms`.
+pub fn queue_ms(service_ms: f64, work: u16, slots: u16) -> f64 {
   let service_ms = known_or_default(service_ms);
   let slots = f64::from(slots);
   let queue = (f64::from(work) + 1.0 - slots).max(0.0);
-  service_ms + queue * service_ms / slots
+  queue * service_ms / slots
 }
 
 fn known_or_default(service_ms: f64) -> f64 {
--- a/tests/datagram/uneven.rs
+++ b/tests/datagram/uneven.rs
@@ -1,7 +1,9 @@
 //! Targets that are not equally fast: the decisions alone, and the machines that use them.
 
 mod agent;
+mod balancer;
 mod pace;
+mod relief;
 
 use {
   fallwell::datagram::{Overload, Tuning},
--- /dev/null
+++ b/tests/datagram/uneven/balancer.rs
@@ -0,0 +1,121 @@
+//! A balancer that places new flows on targets that are not equally fast.
+
+use {
+  super::{ms, tuning},
+  crate::{
+    balancing::{Balancer, carried, feed_status},
+    plain::{Packet, Plain},
+    support::{Harness, configured, elsewhere, flow, listed, settings, update},
+  },
+  fallwell::{
+    config::Presence,
+    counter::Counter,
+    datagram::{Load, balancer},
+  },
+  std::{collections::BTreeMap, ops::Range, sync::Arc, time::Instant},
+};
+
+/// A balancer with overload control that knows targets of service `a`: on `here` in its own data
+/// centre, on `there` in another.
+fn balancer(here: Range<u8>, there: Range<u8>) -> Balancer {
+  let now = Instant::now();
+  let counter = Arc::new(Counter::default());
+  let machine = balancer::Machine::new(now, &settings(1), tuning(), Plain, 1, counter);
+  let mut balancer = Harness::new(machine, now);
+  let here = here.map(|host| {
+    let id = format!("up-{host}");
+    listed(u64::from(host), &id, host, "a", Presence::Live)
+  });
+  let there = there.map(|host| elsewhere(u64::from(host), &format!("up-{host}"), host, "a"));
+  let routes = configured(1, 1, &[(1, "a"), (2, "a")]);
+  let records = [routes].into_iter().chain(here).chain(there);
+  balancer.platform(update(None, 300, &records.collect::<Vec<_>>()));
+  balancer
+}
+
+/// Feeds the loads of hosts, and lets the time of a comparison pass.
+fn feed(balancer: &mut Balancer, hosts: Range<u8>, load: impl Fn(u8) -> Load) {
+  for host in hosts {
+    balancer.now += ms(10);
+    feed_status(balancer, host, 1, load(host));
+  }
+}
+
+fn measured(service_ms: u16, work: u16) -> Load {
+  Load {
+    service_ms,
+    work,
+    ..Load::default()
+  }
+}
+
+/// Opens one flow for each port. After each, its host reports its load. Returns how many flows each
+/// host gets.
+fn shares(
+  balancer: &mut Balancer,
+  ports: Range<u16>,
+  load: impl Fn(u8) -> Load,
+) -> BTreeMap<u8, u32> {
+  let mut shares = BTreeMap::new();
+  for port in ports {
+    let sent = balancer.packet(Packet::open(flow(port, 1), 0));
+    let (host, _) = carried(&sent)[0];
+    *shares.entry(host).or_default() += 1;
+    balancer.now += ms(10);
+    feed_status(balancer, host, 1, load(host));
+  }
+  shares
+}
+
+/// Guards against a slow target that is given as many flows as the others, or none at all.
+#[test]
+fn a_target_that_takes_four_times_as_long_gets_a_quarter() {
+  let load = |host| measured(if host == 13 { 80 } else { 20 }, 0);
+  let mut balancer = balancer(11..17, 0..0);
+  feed(&mut balancer, 11..17, load);
+  let shares = shares(&mut balancer, 1000..3000, load);
+  // 2,000 flows, of which 1 in 21 belongs to the slow target; five standard deviations are 48.
+  let slow = shares.get(&13).copied().unwrap_or_default();
+  assert!((47..=143).contains(&slow), "{shares:?}");
+  assert_eq!(shares.len(), 6, "{shares:?}");
+}
+
+/// Guards against all flows meeting a target whose measurements have just been dropped.
+#[test]
+fn a_target_comes_back_with_one_flow_at_a_time() {
+  let slow = |host| measured(if host == 13 { 80 } else { 20 }, 0);
+  let mut balancer = balancer(11..15, 0..0);
+  feed(&mut balancer, 11..15, slow);
+  // The others are busy, and the target is idle.
+  let dropped = |host| {
+    if host == 13 {
+      measured(0, 0)
+    } else {
+      measured(20, 3)
+    }
+  };
+  feed(&mut balancer, 11..15, dropped);
+  let mut to_slow = 0;
+  for port in 1000..1010 {
+    let sent = balancer.packet(Packet::open(flow(port, 1), 0));
+    to_slow += u32::from(carried(&sent)[0].0 == 13);
+  }
+  assert_eq!(to_slow, 1);
+}
+
+/// Guards against callers who get nothing since only relieved targets are up: the others fail.
+#[test]
+fn a_relieved_target_serves_where_no_other_is_up() {
+  let load = |host| Load {
+    down: host != 13,
+    ..measured(if host == 13 { 80 } else { 20 }, 0)
+  };
+  let mut balancer = balancer(11..15, 0..0);
+  feed(&mut balancer, 11..15, load);
+  let shares = shares(&mut balancer, 1000..1050, load);
+  assert_eq!(
+    shares.keys().copied().collect::<Vec<_>>(),
+    [13],
+    "{shares:?}"
+  );
+}
