Compare targets at once when a speed becomes known or changes

Cause: on a trial with overload control on by default, 4 existing tests failed (3 of sharing, 1 of balancer): loads that came within 10 ms of the last comparison were not compared, so that no median was known after a start.

Change: a load whose service time has become known or unknown, or has doubled or halved, is compared at once; other loads at most each 10 ms, as before.

--- a/src/datagram/balancer/comparison.rs
+++ b/src/datagram/balancer/comparison.rs
@@ -7,7 +7,7 @@
     targets::{TargetState, Targets},
   },
   crate::datagram::{
-    Flow, Service,
+    Flow, Load, Service,
     uneven::{Crossing, Joining, Kind, Relief, Sample, Speeds},
   },
   smallvec::SmallVec,
@@ -90,13 +90,18 @@
     }
   }
 
-  /// Notes that a load has come from a target of a service.
-  pub(super) fn note_load(&mut self, now: Instant, service: &Service) {
+  /// Notes that a load has come from a target of a service. A speed that has become known or
+  /// unknown, or has changed, is compared at once.
+  pub(super) fn note_load(&mut self, now: Instant, service: &Service, before: &Load, load: &Load) {
     if !self.tuning.overload.enabled {
       return;
     }
     let comparison = self.comparisons.entry(service.clone()).or_default();
     comparison.is_outdated = true;
+    let is_known = |load: &Load| load.service_ms > 0;
+    if is_known(before) != is_known(load) || load.has_other_speed(before) {
+      comparison.last = None;
+    }
     self.refresh(now, service);
   }
 
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -291,10 +291,10 @@
   pub fn record_load(&mut self, now: Instant, agent: SocketAddrV4, load: Load) {
     if let Some(target) = self.by_agent.get_mut(&agent) {
       target.last_heard = Some(now);
-      target.load = load;
+      let before = std::mem::replace(&mut target.load, load);
       target.pending = 0;
       let service = target.service.clone();
-      self.note_load(now, &service);
+      self.note_load(now, &service, &before, &load);
     }
   }
 
