--- a/tests/datagram/uneven.rs
+++ b/tests/datagram/uneven.rs
@@ -2,8 +2,11 @@
 
 mod agent;
 mod balancer;
+mod crossing;
+mod joining;
 mod pace;
 mod relief;
+mod speeds;
 
 use {
   fallwell::datagram::{Overload, Tuning},
--- a/tests/datagram/uneven/balancer.rs
+++ b/tests/datagram/uneven/balancer.rs
@@ -10,7 +10,7 @@
   fallwell::{
     config::Presence,
     counter::Counter,
-    datagram::{Load, balancer},
+    datagram::{Load, balancer, uneven::Kind},
   },
   std::{collections::BTreeMap, ops::Range, sync::Arc, time::Instant},
 };
@@ -119,3 +119,68 @@
     "{shares:?}"
   );
 }
+
+/// Guards against flows that cross to another data centre for less than crossing costs, 30 ms, and
+/// against those that come back for the first free slot here.
+#[test]
+fn flows_cross_when_the_wait_here_exceeds_that_there_by_the_cost() {
+  let load = |here: u16| move |host| measured(20, if host < 14 { here } else { 0 });
+  let mut balancer = balancer(11..14, 14..17);
+  // With 4 slots, each request more makes an answer 5 ms later, and 3 ms more are added for use.
+  let works = [(5, false), (12, true), (5, true), (3, false), (5, false)];
+  for (port, (work, crosses)) in (1000..).zip(works) {
+    feed(&mut balancer, 11..17, load(work));
+    let sent = balancer.packet(Packet::open(flow(port, 1), 0));
+    let (host, _) = carried(&sent)[0];
+    assert_eq!(host >= 14, crosses, "{work}: {host}");
+  }
+}
+
+/// Guards against a new target that gets every flow while it is not measured and seems idle.
+#[test]
+fn a_new_target_gets_at_most_twice_its_share() {
+  let load = |host| {
+    measured(
+      if host == 15 { 0 } else { 20 },
+      if host == 15 { 0 } else { 2 },
+    )
+  };
+  let mut balancer = balancer(11..15, 0..0);
+  feed(&mut balancer, 11..15, load);
+  shares(&mut balancer, 1000..1100, load);
+  let joined = listed(301, "up-15", 15, "a", Presence::Live);
+  balancer.platform(update(Some(300), 301, &[joined]));
+  feed(&mut balancer, 11..16, load);
+  let shares = shares(&mut balancer, 2000..2200, load);
+  let new = shares.get(&15).copied().unwrap_or_default();
+  assert!((70..=80).contains(&new), "{shares:?}");
+}
+
+/// Guards against a flow placed by the mean time of all kinds of work: one target is slow for its
+/// kind alone.
+#[test]
+fn a_flow_is_placed_by_the_times_of_its_route() {
+  let kind = |number| Kind::from(crate::support::route(number));
+  let load = |host| Load {
+    times: [
+      (kind(1), ms(if host == 11 { 40 } else { 20 })),
+      (kind(2), ms(20)),
+    ]
+    .into_iter()
+    .collect(),
+    ..measured(20, 0)
+  };
+  let mut balancer = balancer(11..14, 0..0);
+  feed(&mut balancer, 11..14, load);
+  let first = shares(&mut balancer, 1000..1100, load);
+  assert!(!first.contains_key(&11), "{first:?}");
+  let mut second = 0;
+  for port in 2000..2100 {
+    let sent = balancer.packet(Packet::open(flow(port, 2), 0));
+    let (host, _) = carried(&sent)[0];
+    second += u32::from(host == 11);
+    balancer.now += ms(10);
+    feed_status(&mut balancer, host, 1, load(host));
+  }
+  assert!(second > 10, "{second}");
+}
