--- a/src/datagram/agent/work.rs
+++ b/src/datagram/agent/work.rs
@@ -127,7 +127,7 @@
     self.open_until = None;
     if let Some(slots) = slots {
       self.measure(now, time, ahead, slots);
-      self.measure_kind(Kind::from(flow.route), time, ahead, slots);
+      self.measure_kind(now, Kind::from(flow.route), time, ahead, slots);
     }
     self.end();
   }
@@ -168,13 +168,13 @@
   }
 
   /// Adds the time of an answer to the measurements of overload control.
-  fn measure_kind(&mut self, kind: Kind, time: Duration, ahead: u16, slots: u16) {
+  fn measure_kind(&mut self, now: Instant, kind: Kind, time: Duration, ahead: u16, slots: u16) {
     if !self.overload.enabled {
       return;
     }
     self.answers = self.answers.wrapping_add(1);
     let own = self.own_time(kind, time, ahead, slots);
-    self.kinds.record(kind, own);
+    self.kinds.record(now, kind, own);
     self.pace.record(own);
   }
 
@@ -246,9 +246,9 @@
       self.samples = 0;
       self.service_ms = 0.0;
       self.failed = 0.0;
-      self.kinds = Kinds::default();
       self.pace = Pace::default();
     }
+    self.kinds.expire(now, MEASUREMENT_TTL);
   }
 
   /// Adds the bytes of a request and its answer to their average.
--- a/tests/datagram/uneven/agent.rs
+++ b/tests/datagram/uneven/agent.rs
@@ -141,6 +141,18 @@
   assert_eq!((time(1), time(2)), (Some(ms(4)), Some(ms(60))));
 }
 
+/// Guards against an old time of a route that has no requests any more, while others have.
+#[test]
+fn each_route_is_forgotten_by_itself() {
+  let mut agent = agent();
+  request(&mut agent, 1, 1, ms(20));
+  for port in 2..=40 {
+    request(&mut agent, port, 2, ms(100));
+  }
+  let times = load(&agent).times;
+  assert_eq!(times.iter().count(), 1, "{times:?}");
+}
+
 /// Guards against measurements of an upstream that has restarted or is idle.
 #[test]
 fn measurements_are_dropped_after_three_seconds() {
--- a/tests/datagram/uneven/speeds.rs
+++ b/tests/datagram/uneven/speeds.rs
@@ -5,7 +5,7 @@
   crate::support::route,
   fallwell::datagram::uneven::{Kind, Kinds, Speeds, Times},
   proptest::prelude::*,
-  std::time::Duration,
+  std::time::{Duration, Instant},
 };
 
 fn kind(number: u8) -> Kind {
@@ -41,12 +41,11 @@
 /// are kept and reported.
 #[test]
 fn the_least_recently_used_kind_is_dropped() {
+  let now = Instant::now();
   let mut kinds = Kinds::default();
-  for number in 1..=8 {
-    kinds.record(kind(number), ms(20));
+  for number in [1, 2, 3, 4, 5, 6, 7, 8, 1, 9] {
+    kinds.record(now, kind(number), ms(20));
   }
-  kinds.record(kind(1), ms(20));
-  kinds.record(kind(9), ms(20));
   let measured = (1..=9).filter(|number| kinds.time(kind(*number)).is_some());
   assert_eq!(measured.collect::<Vec<_>>(), [1, 3, 4, 5, 6, 7, 8, 9]);
   let reported = kinds
@@ -60,10 +59,11 @@
 /// Guards against a hanging request of one kind that makes another kind seem slow.
 #[test]
 fn a_missing_answer_counts_for_its_kind_only() {
+  let now = Instant::now();
   let mut kinds = Kinds::default();
   for _ in 0..20 {
-    kinds.record(kind(1), ms(4));
-    kinds.record(kind(2), ms(60));
+    kinds.record(now, kind(1), ms(4));
+    kinds.record(now, kind(2), ms(60));
   }
   let times = kinds.times(&[(kind(1), ms(60)), (kind(1), ms(60))]);
   assert_eq!(times.get(kind(2)), Some(ms(60)));
