--- a/src/datagram/balancer/choosing.rs
+++ b/src/datagram/balancer/choosing.rs
@@ -84,9 +84,9 @@
     })
   }
 
-  /// One of the targets of the lowest cost, with its cost, among those that `admits` names and where
-  /// a request would be answered within `limit_ms`. Equivalent targets are ranked by a hash of the
-  /// flow.
+  /// One of the targets of the lowest cost, with its cost, among those that `admits` names and
+  /// where a request would be answered within `limit_ms`. Equivalent targets are ranked by a hash of
+  /// the flow.
   pub(super) fn best(
     &self,
     query: &Query,
--- a/src/datagram/balancer/comparison.rs
+++ b/src/datagram/balancer/comparison.rs
@@ -19,8 +19,8 @@
   xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
-/// The shortest interval between two comparisons: shorter than most requests take. One of 50 targets
-/// takes 27 µs, so that they cost a thin balancer (0.1 of a core) a seventieth of its time.
+/// The shortest interval between two comparisons: shorter than most requests take. One of 50
+/// targets takes 27 µs, so that they cost a thin balancer (0.1 of a core) a seventieth of its time.
 const INTERVAL: Duration = Duration::from_millis(20);
 
 /// A load counts for so long after the agent was last heard.
@@ -232,8 +232,8 @@
     within.or(best).map(|(_, choice)| choice)
   }
 
-  /// The relieved target whose share a flow belongs to that would otherwise go to `best`; none where
-  /// it belongs to the others. The targets of one data centre share the flows.
+  /// The relieved target whose share a flow belongs to that would otherwise go to `best`; none
+  /// where it belongs to the others. The targets of one data centre share the flows.
   fn draw_relieved(
     &self,
     query: &Query,
--- a/tests/datagram/uneven/joining.rs
+++ b/tests/datagram/uneven/joining.rs
@@ -50,8 +50,8 @@
 proptest! {
   #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
-  /// Whatever is placed elsewhere in between, a new target gets at most twice its share and one flow,
-  /// and targets that were measured are never limited.
+  /// Whatever is placed elsewhere in between, a new target gets at most twice its share and one
+  /// flow, and targets that were measured are never limited.
   #[test]
   fn the_share_of_a_new_target_is_bounded(
     prefers_new in prop::collection::vec(any::<bool>(), 1..300),
--- a/tests/datagram/uneven/pace.rs
+++ b/tests/datagram/uneven/pace.rs
@@ -16,8 +16,8 @@
   pace
 }
 
-/// Guards against a moving average that shows a target as fast while callers wait for it: a replayed
-/// load whose service times become four times as long, and normal again.
+/// Guards against a moving average that shows a target as fast while callers wait for it: a
+/// replayed load whose service times become four times as long, and normal again.
 #[test]
 fn a_change_of_speed_shows_within_five_answers_and_is_forgotten_within_five() {
   let mut rng = SmallRng::seed_from_u64(3);
@@ -67,7 +67,8 @@
 proptest! {
   #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
-  /// Any change by at least the ratio of relief shows in full after 5 answers, whatever came before.
+  /// Any change by at least the ratio of relief shows in full after 5 answers, whatever came
+  /// before.
   #[test]
   fn five_answers_at_another_speed_set_the_time(
     before in prop::collection::vec(10_u64..20, 5..60),
