--- a/src/datagram/agent.rs
+++ b/src/datagram/agent.rs
@@ -12,6 +12,7 @@
 mod grants;
 mod machine;
 mod restarting;
+mod running;
 mod schedule;
 mod work;
 
--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod choosing;
 mod class_state;
+mod comparison;
 mod cost;
 mod drain;
 mod egress;
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -107,6 +107,7 @@
     mut opening: Opening,
     out: &mut Outbox,
   ) -> Result<(), Code> {
+    self.targets.refresh(now, service);
     let mut choice = self.choose(now, &flow, service, &opening.tried);
     if choice.is_none() && !opening.tried.is_empty() {
       opening.tried.clear();
@@ -160,7 +161,7 @@
     opening.tried.push(agent);
     opening.sent = now;
     opening.deadline = now + self.open_timeout.wait();
-    self.targets.count_opening(agent);
+    self.targets.count_opening(agent, &flow);
     self.opening_deadlines.insert((opening.deadline, flow));
     let handling = self.opening_handling(now, service, is_granted);
     let service = service.digest();
--- a/tests/datagram/main.rs
+++ b/tests/datagram/main.rs
@@ -27,6 +27,7 @@
 mod sharing;
 mod shedding;
 mod support;
+mod uneven;
 mod upstream_restarted;
 mod waiting;
 mod weights;
