--- a/src/command.rs
+++ b/src/command.rs
@@ -1,6 +1,7 @@
 //! The command line of `fallwell`, with one module per verb.
 
 mod check;
+mod demand;
 mod drain_status;
 mod get;
 mod output;
@@ -8,6 +9,8 @@
 mod wait;
 mod watch;
 
+pub use demand::Demand;
+
 use {
   crate::{
     code::{Code, Fault},
