--- a/src/datagram/balancer/granted.rs
+++ b/src/datagram/balancer/granted.rs
@@ -15,9 +15,6 @@
   std::{net::SocketAddrV4, time::Instant},
 };
 
-/// Priorities from this on are counted together in metrics.
-const COUNTED_PRIORITY_MAX: u8 = 7;
-
 impl<C: Codec> Machine<C> {
   /// Uses a slot that an agent has reserved for a queued flow, or returns it if it cannot be
   /// used.
@@ -119,8 +116,6 @@
       self.expire_queued(now, &class, out);
       while let Some(queued) = self.most_urgent(now, &class, &choice) {
         if self.send_queued(now, &class, queued, choice, out) {
-          let counted = class.priority.min(COUNTED_PRIORITY_MAX);
-          self.counter.add(&format!("queue.granted.{counted}"), 1);
           return true;
         }
       }
--- a/tests/datagram/shedding.rs
+++ b/tests/datagram/shedding.rs
@@ -551,7 +551,8 @@
     resets += usize::from(port > 1000 && is_reset(&sent, flow(port, 1), 0));
     if port % 20 == 0 {
       // So busy that nothing is placed without a grant.
-      for sent in balancer.frame(12, &Frame::Grant(busy(11)), &[]) {
+      let (load, priority) = (busy(11), 1);
+      for sent in balancer.frame(12, &Frame::Grant { load, priority }, &[]) {
         let Sent::Frame(_, Frame::Carry { .. }, packet) = sent else {
           continue;
         };
