--- a/src/datagram/agent/grants.rs
+++ b/src/datagram/agent/grants.rs
@@ -81,11 +81,12 @@
 
   /// Counts a flow of a priority as no longer queued. Classes beyond those of a report are counted
   /// in its lowest one.
-  fn remove_flow(&mut self, priority: u8) {
-    let above = self.classes.range_mut(..=priority).next_back();
-    let waiting = match above {
-      Some((_, waiting)) => Some(waiting),
-      None => self.classes.values_mut().next(),
+  fn remove_flow(&mut self, priority: u8, by_class: bool) {
+    let is_merged = self.classes.len() >= DEMANDS_MAX || !by_class;
+    let waiting = if is_merged && !self.classes.contains_key(&priority) {
+      self.classes.values_mut().next_back()
+    } else {
+      self.classes.get_mut(&priority)
     };
     if let Some(Waiting { demand, .. }) = waiting {
       demand.flows = demand.flows.saturating_sub(1);
@@ -263,7 +264,7 @@
     if let Some(backlog) = self.backlogs.get_mut(&balancer) {
       backlog.lapses = 0;
       backlog.release(reserved_for);
-      backlog.remove_flow(priority);
+      backlog.remove_flow(priority, self.by_class);
     }
     true
   }
--- a/src/datagram/balancer/granted.rs
+++ b/src/datagram/balancer/granted.rs
@@ -31,10 +31,11 @@
     let Some(service) = self.targets.service(from).cloned() else {
       return;
     };
-    if self.targets.serves(now, from) && self.use_grant(now, from, &service, priority, out) {
-      if self.tuning.overload.enabled && !self.queue.has_flows(&service) {
-        self.announced.clear(&service);
-      }
+    let used = self.targets.serves(now, from) && self.use_grant(now, from, &service, priority, out);
+    if self.tuning.overload.enabled && !self.queue.has_flows(&service) {
+      self.announced.clear(&service);
+    }
+    if used {
       return;
     }
     let frame = Frame::Backlog {
@@ -51,14 +52,14 @@
     }
   }
 
-  /// Whether queued flows of a service wait for a grant, whatever loads are known: its agents grant,
-  /// or have not had the time to answer.
+  /// Whether grants of a service's agents can be expected: one has answered the last report, or they
+  /// have not had the time to.
   pub(super) fn awaits_grant(&self, now: Instant, service: &Service) -> bool {
     self.tuning.overload.enabled && !self.announced.is_unanswered(now, service)
   }
 
-  /// Whether a new flow of a service is queued although nothing is known to wait here: flows wait
-  /// elsewhere, and each has the same chance for the next free slot.
+  /// Whether flows of a service are sent to targets only by grants, whatever loads are known: flows
+  /// wait elsewhere too, and each has the same chance for the next free slot.
   pub(super) fn must_compete(&self, now: Instant, service: &Service) -> bool {
     let agents = self.targets.services.get(service).into_iter().flatten();
     let mut targets = agents.filter_map(|agent| self.targets.by_agent.get(agent));
@@ -130,10 +131,12 @@
       self.announced.clear(service);
       return;
     }
-    if !self
-      .announced
-      .is_due(now, service, &self.class_lengths(&classes))
-    {
+    if !self.announced.is_due(
+      now,
+      service,
+      &self.class_lengths(&classes),
+      self.tuning.overload,
+    ) {
       return;
     }
     let frame = Frame::Backlog {
@@ -176,7 +179,7 @@
     Demand {
       priority: class.priority,
       flows: to_u16(self.queue.flows(class)),
-      callers: to_u16(self.queue.callers(class)),
+      callers: to_u16(self.shedding.callers(class)),
       oldest_ms: to_u16(age.unwrap_or_default().as_millis() as usize),
     }
   }
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -51,7 +51,8 @@
         State::Opening(before) if now < before.deadline => {
           // The target may still answer, or its answer to the caller was lost.
           before.may_be_open = true;
-          self.carry(agent, Handling::Open, service, packet, out);
+          let handling = before.handling;
+          self.carry(agent, handling, service, packet, out);
           return Ok(());
         }
         State::Opening(before) => opening.tried = std::mem::take(&mut before.tried),
@@ -163,7 +164,8 @@
     opening.deadline = now + self.open_timeout.wait();
     self.targets.count_opening(agent, &flow);
     self.opening_deadlines.insert((opening.deadline, flow));
-    let handling = self.opening_handling(now, service, is_granted);
+    opening.handling = self.opening_handling(now, service, is_granted);
+    let handling = opening.handling;
     let service = service.digest();
     self.carry(agent, handling, service, &opening.packet, out);
     let place = Place {
--- a/src/datagram/balancer/place.rs
+++ b/src/datagram/balancer/place.rs
@@ -1,6 +1,6 @@
 use {
   super::queue::FlowClass,
-  crate::datagram::{Codec, Head, service::Digest},
+  crate::datagram::{Codec, Head, frame::Handling, service::Digest},
   smallvec::SmallVec,
   std::{net::SocketAddrV4, time::Instant},
 };
@@ -52,6 +52,8 @@
   pub deadline: Instant,
   /// When the caller sent it first, computed from the number of the transmission.
   pub first: Instant,
+  /// How the agent that it was sent to is to open the flow.
+  pub handling: Handling,
   /// Whether the flow may be open already: a target did not answer, or another balancer may have
   /// received a transmission.
   pub may_be_open: bool,
@@ -74,6 +76,7 @@
       first: now
         .checked_sub(C::retransmit_after(head.acknowledges))
         .unwrap_or(now),
+      handling: Handling::Open,
       may_be_open: head.acknowledges > 0,
       packet: SmallVec::from_slice(packet),
       received: now,
--- a/src/datagram/balancer/queue.rs
+++ b/src/datagram/balancer/queue.rs
@@ -1,7 +1,7 @@
 use {
   crate::datagram::{Flow, Service},
   std::{
-    collections::{BTreeMap, BTreeSet, HashSet},
+    collections::{BTreeMap, BTreeSet},
     net::{Ipv4Addr, SocketAddrV4},
     time::{Duration, Instant},
   },
@@ -75,13 +75,6 @@
     self.queued.get(class).map_or(0, BTreeSet::len)
   }
 
-  /// How many callers have queued flows of a class.
-  pub fn callers(&self, class: &FlowClass) -> usize {
-    let flows = self.queued.get(class).into_iter().flatten();
-    let callers = flows.map(|(_, flow)| flow.caller.ip());
-    callers.collect::<HashSet<_>>().len()
-  }
-
   /// How many flows of a service are queued.
   pub fn len(&self, service: &Service) -> usize {
     let classes = self.queued.iter();
--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -127,7 +127,7 @@
     for class in self.queue.due(now) {
       self.update_capacity(now, &class.service);
       self.expire_queued(now, &class, out);
-      while !self.awaits_grant(now, &class.service)
+      while !self.must_compete(now, &class.service)
         && let Some((queued, choice)) = self.next_queued(now, &class)
       {
         let _ = self.send_queued(now, &class, queued, choice, out);
