--- a/src/datagram/balancer/announced.rs
+++ b/src/datagram/balancer/announced.rs
@@ -1,5 +1,5 @@
 use {
-  crate::datagram::{Overload, Service},
+  crate::datagram::Service,
   std::{
     collections::BTreeMap,
     time::{Duration, Instant},
@@ -10,11 +10,6 @@
 /// discard one.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The shortest interval between two reports that a change causes, but for the first one of a queue: as
-/// long as a grant is reserved. Short queues double and halve with each flow, and each report goes to
-/// all agents of the service.
-const CHANGE_INTERVAL: Duration = Duration::from_millis(25);
-
 /// After this long without an answer to a report, a service's agents are assumed to grant nothing. Two
 /// grants fit in this time, each with the time for which it is reserved (25 ms), so that the loss of
 /// one is not taken for silence; and a flow that was queued meanwhile can be sent to two more targets
@@ -47,24 +42,14 @@
 
 impl Announced {
   /// Whether queue lengths are due to be sent to agents: the last ones are old, or the queue of a
-  /// class has since doubled or halved. They then count as sent. Under overload control a queue that
-  /// has become shorter is reported with the next renewal: its grants are used for what is left.
-  pub fn is_due(
-    &mut self,
-    now: Instant,
-    service: &Service,
-    classes: &[ClassLength],
-    overload: Overload,
-  ) -> bool {
+  /// class has since doubled or halved. They then count as sent. Reports of short queues must not be
+  /// fewer: agents count down what was reported with each grant that is used, and grant nothing to a
+  /// queue that has been refilled meanwhile.
+  pub fn is_due(&mut self, now: Instant, service: &Service, classes: &[ClassLength]) -> bool {
     let last = self.services.get(service);
     let due = last.is_none_or(|last| {
-      let age = now.saturating_duration_since(last.at);
-      let has_grown = is_changed(&last.classes, classes);
-      if overload.enabled {
-        let may_report = age >= CHANGE_INTERVAL || last.classes.is_empty();
-        return age >= RENEWAL_INTERVAL || (has_grown && may_report);
-      }
-      age >= RENEWAL_INTERVAL || has_grown || is_changed(classes, &last.classes)
+      let is_old = now.saturating_duration_since(last.at) >= RENEWAL_INTERVAL;
+      is_old || is_changed(&last.classes, classes) || is_changed(classes, &last.classes)
     });
     if due {
       let recent = last.filter(|last| now.saturating_duration_since(last.at) < SILENCE_TTL);
--- a/src/datagram/balancer/granted.rs
+++ b/src/datagram/balancer/granted.rs
@@ -131,12 +131,10 @@
       self.announced.clear(service);
       return;
     }
-    if !self.announced.is_due(
-      now,
-      service,
-      &self.class_lengths(&classes),
-      self.tuning.overload,
-    ) {
+    if !self
+      .announced
+      .is_due(now, service, &self.class_lengths(&classes))
+    {
       return;
     }
     let frame = Frame::Backlog {
--- a/tests/datagram/grants.rs
+++ b/tests/datagram/grants.rs
@@ -448,9 +448,8 @@
   for number in 1..=10 {
     balancer.packet(Packet::open(flow(3, number), 0));
   }
-  // A class has doubled. Reports of changes are at least this far apart.
-  assert_eq!(demands(&balancer.pass(Duration::from_millis(5))), None);
-  let classes = demands(&balancer.pass(Duration::from_millis(20)));
+  // A class has doubled.
+  let classes = demands(&balancer.pass(Duration::from_millis(5)));
   let classes = classes.expect("a backlog");
   assert_eq!(
     (classes.len(), classes[0], classes[7]),
