Key the entries of the admission queue by start and flow

Entries were keyed by flow while the ordered sets were keyed by start and flow. A flow queued again with another start left a stale item in those sets, for which shed and next never ended. Entries are now keyed by start and flow, and a queued flow is removed from the queue before its place is replaced by that of a found flow. A test queues a flow with two starts.

--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -205,6 +205,8 @@
     service: Digest,
     out: &mut Outbox,
   ) {
+    // The flow may be queued here: a queued flow is found again by the place that is replaced.
+    self.dequeue(&flow);
     self.flows.insert(
       flow,
       Place {
--- a/src/datagram/balancer/waitlist.rs
+++ b/src/datagram/balancer/waitlist.rs
@@ -6,7 +6,7 @@
     reason::Reason,
     supply::Supply,
   },
-  crate::{datagram::Flow, fair},
+  crate::fair,
   std::{
     collections::{BTreeSet, HashMap},
     net::Ipv4Addr,
@@ -45,7 +45,7 @@
 pub struct Waitlist {
   /// The placements of the class.
   pub drain: Drain,
-  entries: HashMap<Flow, Entry>,
+  entries: HashMap<Queued, Entry>,
   /// When a flow last was too late for its objective, or was rejected or displaced.
   excess: Option<Instant>,
   /// All flows, by when their callers started.
@@ -160,14 +160,14 @@
     } else {
       self.on_time.insert((deadline, queued));
     }
-    self.entries.insert(flow, entry);
+    self.entries.insert(queued, entry);
     self.standing_since.get_or_insert(now);
   }
 
   /// Removes a flow.
   pub fn remove(&mut self, queued: Queued) {
     let (_, flow) = queued;
-    let Some(entry) = self.entries.remove(&flow) else {
+    let Some(entry) = self.entries.remove(&queued) else {
       return;
     };
     self.flows.remove(*flow.caller.ip(), &queued);
@@ -190,7 +190,7 @@
         break;
       }
       self.on_time.pop_first();
-      if let Some(entry) = self.entries.get_mut(&queued.1) {
+      if let Some(entry) = self.entries.get_mut(&queued) {
         entry.is_late = true;
         self.late.insert((entry.level, queued));
       }
@@ -244,8 +244,8 @@
     fairest.or(Some(earliest))
   }
 
-  fn is_in_time(&self, now: Instant, (_, flow): Queued, wait: Duration) -> bool {
-    let entry = self.entries.get(&flow);
+  fn is_in_time(&self, now: Instant, queued: Queued, wait: Duration) -> bool {
+    let entry = self.entries.get(&queued);
     entry.is_some_and(|entry| now + wait <= entry.deadline)
   }
 
--- a/tests/datagram/shedding.rs
+++ b/tests/datagram/shedding.rs
@@ -470,6 +470,28 @@
   assert!(!line.is_overloaded(0));
 }
 
+/// Guards against a stale item that remains when the same flow is queued with two starts: `shed` and
+/// `next` would return it for ever.
+#[test]
+fn a_flow_that_is_queued_with_two_starts_is_removed_with_both() {
+  let mut line = Line::new(50.0, None);
+  let starts = [before(line.now, ms(400)), line.now];
+  for first in starts {
+    let newcomer = Newcomer {
+      objective: OBJECTIVE,
+      queued: (first, flow(1, 1)),
+    };
+    let verdict = line.shedding.admit(line.now, &class(0), &newcomer);
+    assert_eq!(verdict, Verdict::Waits);
+  }
+  for (left, first) in [(1, starts[0]), (0, starts[1])] {
+    line.shedding.remove(&class(0), (first, flow(1, 1)));
+    assert_eq!(line.shedding.state(line.now, &class(0)).queued, left);
+  }
+  assert_eq!(line.shedding.next(line.now, &class(0), ANSWER), None);
+  assert_eq!(line.shedding.shed(line.now, &class(0)), []);
+}
+
 proptest! {
   #[test]
   fn each_flow_ends_once_and_none_waits_in_vain(
