Reject late flows that are overtaken until their callers give up

Only the last late flow in the order was judged. One whose caller is not certain to be still waiting is overtaken by all younger ones, and was held until it expired. The oldest such flow is now judged first, as if all other late flows were ahead of it. The check of the tests covers it.

--- a/src/datagram/balancer/waitlist.rs
+++ b/src/datagram/balancer/waitlist.rs
@@ -52,6 +52,8 @@
   flows: fair::Queue<Ipv4Addr, Queued>,
   /// The flows that are too late for their objective, in the order of the fair queue.
   late: BTreeSet<(usize, Queued)>,
+  /// The flows of `late`, by when their callers started.
+  late_by_start: BTreeSet<Queued>,
   /// The flows that can still be answered within their objective, the earliest deadline first.
   on_time: BTreeSet<(Instant, Queued)>,
   /// The objective of the flow that arrived last.
@@ -72,6 +74,7 @@
       excess: None,
       flows: fair::Queue::new(),
       late: BTreeSet::new(),
+      late_by_start: BTreeSet::new(),
       on_time: BTreeSet::new(),
       objective: Duration::ZERO,
       patience,
@@ -157,6 +160,7 @@
     self.flows.insert(caller, running, queued);
     if entry.is_late {
       self.late.insert((entry.level, queued));
+      self.late_by_start.insert(queued);
     } else {
       self.on_time.insert((deadline, queued));
     }
@@ -172,6 +176,7 @@
     };
     self.flows.remove(*flow.caller.ip(), &queued);
     self.late.remove(&(entry.level, queued));
+    self.late_by_start.remove(&queued);
     self.on_time.remove(&(entry.deadline, queued));
     if self.is_empty() {
       self.standing_since = None;
@@ -193,6 +198,7 @@
       if let Some(entry) = self.entries.get_mut(&queued) {
         entry.is_late = true;
         self.late.insert((entry.level, queued));
+        self.late_by_start.insert(queued);
       }
     }
     if !self.late.is_empty() {
@@ -200,13 +206,19 @@
     }
   }
 
-  /// The late flow that is placed last, if it will not be placed before its caller gives up. One flow
-  /// may always wait, so that the rates stay known.
+  /// A late flow that will not be placed before its caller gives up: one whose caller is not certain
+  /// to be still waiting, which is overtaken by all others, or else the last in order. One flow may
+  /// always wait, so that the rates stay known.
   pub fn hopeless(&self, now: Instant) -> Option<Queued> {
     let (_, last) = *self.late.last()?;
-    let ahead = self.late.len() - 1;
-    let is_hopeless = self.len() > 1 && ahead as f64 >= self.late_limit(now, last);
-    is_hopeless.then_some(last)
+    if self.len() < 2 {
+      return None;
+    }
+    let ahead = (self.late.len() - 1) as f64;
+    let overtaken = self.late_by_start.first().copied();
+    let overtaken = overtaken.filter(|(first, _)| *first < self.certain_since(now));
+    let mut judged = overtaken.into_iter().chain([last]);
+    judged.find(|queued| ahead >= self.late_limit(now, *queued))
   }
 
   /// The flow to be placed first at a target where its request would be answered after `wait`.
@@ -217,8 +229,8 @@
     } else {
       self.is_in_time(now, newest, wait).then_some(newest)
     };
-    let certain = now.checked_sub(self.patience.certain).unwrap_or(now);
-    let oldest = || self.flows.first_since(&(certain, FIRST_FLOW));
+    let certain = (self.certain_since(now), FIRST_FLOW);
+    let oldest = || self.flows.first_since(&certain);
     in_time
       .or_else(|| oldest().map(|(_, queued)| queued))
       .or(Some(newest))
@@ -244,6 +256,11 @@
     fairest.or(Some(earliest))
   }
 
+  /// Callers that started since then are certain to be still waiting.
+  fn certain_since(&self, now: Instant) -> Instant {
+    now.checked_sub(self.patience.certain).unwrap_or(now)
+  }
+
   fn is_in_time(&self, now: Instant, queued: Queued, wait: Duration) -> bool {
     let entry = self.entries.get(&queued);
     entry.is_some_and(|entry| now + wait <= entry.deadline)
--- a/tests/datagram/shedding.rs
+++ b/tests/datagram/shedding.rs
@@ -246,7 +246,8 @@
     }
   }
 
-  /// Of an overloaded class, the late flow that goes last must still be served in time for its caller.
+  /// Of an overloaded class, the late flow that goes last must still be served in time for its caller,
+  /// and so must the oldest one if younger ones overtake it.
   fn check_hopeless(&self, class: &FlowClass) {
     let list = &self.waiting[class];
     if list.len() < 2 || !self.is_overloaded(class.priority) {
@@ -255,7 +256,10 @@
     let late = list.values();
     let late = late.filter(|flow| !self.is_in_time(flow.queued, ANSWER));
     let late = late.collect::<Vec<_>>();
-    if let Some(last) = late.iter().max_by_key(|flow| (flow.level, flow.queued)) {
+    let last = late.iter().max_by_key(|flow| (flow.level, flow.queued));
+    let oldest = late.iter().min_by_key(|flow| flow.queued);
+    let overtaken = oldest.filter(|flow| self.now - flow.queued.0 > PATIENCE.certain);
+    for last in last.into_iter().chain(overtaken) {
       let left = (last.queued.0 + PATIENCE.total - self.now).as_secs_f64();
       assert!(((late.len() - 1) as f64) < self.rate(class, true) * left + 1e-6);
     }
