Let a late flow displace only a late flow of its class

A flow that found the late limit reached displaced any flow of a lower class, or an on-time one of its own class. That freed no late place, so the late limit was exceeded. It now displaces only a late flow of its class whose caller has at least two more, and is rejected otherwise.

--- a/src/datagram/balancer/shedding.rs
+++ b/src/datagram/balancer/shedding.rs
@@ -51,7 +51,7 @@
       return Verdict::Waits;
     };
     let (_, flow) = newcomer.queued;
-    let Some((other, displaced)) = self.less_urgent(class, *flow.caller.ip()) else {
+    let Some((other, displaced)) = self.less_urgent(class, *flow.caller.ip(), reason) else {
       self.list(class).record_excess(now);
       return Verdict::Rejected(reason);
     };
@@ -202,16 +202,26 @@
   }
 
   /// The flow that is displaced by a new one of a caller: of the lowest class below, or else of a
-  /// caller of the same class that has at least two more flows.
-  fn less_urgent(&self, class: &FlowClass, caller: Ipv4Addr) -> Option<(FlowClass, Queued)> {
+  /// caller of the same class that has at least two more flows. A late flow displaces only a late one
+  /// of its class: no other makes room within the late limit.
+  fn less_urgent(
+    &self,
+    class: &FlowClass,
+    caller: Ipv4Addr,
+    reason: Reason,
+  ) -> Option<(FlowClass, Queued)> {
+    let only_late = reason == Reason::Late;
     let lists = self.of_service(&class.service);
     let lists = lists.filter(|(_, list)| !list.is_empty());
     let (lowest, list) = lists.last()?;
-    if lowest.priority > class.priority {
+    if lowest.priority > class.priority && !only_late {
       return Some((lowest.clone(), list.longest()?));
     }
     let list = self.classes.get(class)?;
     let (first, flow) = list.longest()?;
+    if only_late && !list.is_late((first, flow)) {
+      return None;
+    }
     let most = list.flows_of(*flow.caller.ip());
     (most >= list.flows_of(caller) + 2).then_some((class.clone(), (first, flow)))
   }
--- a/src/datagram/balancer/waitlist.rs
+++ b/src/datagram/balancer/waitlist.rs
@@ -108,6 +108,12 @@
     self.flows.longest().map(|(_, queued)| queued)
   }
 
+  /// Whether a flow waits that is too late for its objective.
+  pub fn is_late(&self, queued: Queued) -> bool {
+    let entry = self.entries.get(&queued);
+    entry.is_some_and(|entry| entry.is_late)
+  }
+
   /// Whether the class is overloaded: flows have been waiting for the whole window, some were placed
   /// in it, and some were too late, rejected or displaced in it. Flows that all wait for less than
   /// their objective are served in time; but where others were turned away to achieve that, the
