Bound objectives by the patience in the admission queue

With an objective longer than the patience, flows counted as on time until they expired; nothing recorded an excess, so the class never counted as overloaded. Deadlines now lie within the patience, and each expired flow counts as an excess. A test runs an overload with an objective of 5 s.

--- a/src/datagram/balancer/shedding.rs
+++ b/src/datagram/balancer/shedding.rs
@@ -95,6 +95,14 @@
     }
   }
 
+  /// Removes a flow whose caller would give up before an answer reached it.
+  pub fn expire(&mut self, now: Instant, class: &FlowClass, queued: Queued) {
+    if let Some(list) = self.classes.get_mut(class) {
+      list.remove(queued);
+      list.record_excess(now);
+    }
+  }
+
   /// Records that a flow was sent to a target, and whether that was too late for its objective.
   pub fn record_placement(&mut self, now: Instant, class: &FlowClass, flow: Flow, is_late: bool) {
     let window = self.patience.window();
--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -255,7 +255,11 @@
         break;
       }
       self.queue.remove(class, queued);
-      self.shedding.remove(class, queued);
+      if reason == Reason::Expired {
+        self.shedding.expire(now, class, queued);
+      } else {
+        self.shedding.remove(class, queued);
+      }
       self.reject_queued(now, class, queued, reason, out);
     }
     for queued in self.shedding.shed(now, class) {
--- a/src/datagram/balancer/waitlist.rs
+++ b/src/datagram/balancer/waitlist.rs
@@ -24,9 +24,10 @@
 }
 
 impl Newcomer {
-  /// When its request is to be answered.
-  fn deadline(&self) -> Instant {
-    self.queued.0 + self.objective
+  /// When its request is to be answered. No objective extends beyond the patience: a later answer
+  /// does not reach the caller.
+  fn deadline(&self, patience: Patience) -> Instant {
+    self.queued.0 + self.objective.min(patience.total)
   }
 }
 
@@ -46,7 +47,7 @@
   /// The placements of the class.
   pub drain: Drain,
   entries: HashMap<Queued, Entry>,
-  /// When a flow last was too late for its objective, or was rejected or displaced.
+  /// When a flow last was too late for its objective, was rejected or displaced, or expired.
   excess: Option<Instant>,
   /// All flows, by when their callers started.
   flows: fair::Queue<Ipv4Addr, Queued>,
@@ -115,7 +116,7 @@
   }
 
   /// Whether the class is overloaded: flows have been waiting for the whole window, some were placed
-  /// in it, and some were too late, rejected or displaced in it. Flows that all wait for less than
+  /// in it, and some were too late, rejected, displaced or expired in it. Flows that all wait for less than
   /// their objective are served in time; but where others were turned away to achieve that, the
   /// overload goes on.
   pub fn is_overloaded(&self, now: Instant, supply: &Supply) -> bool {
@@ -132,7 +133,7 @@
   /// Why a new flow of an overloaded class has to be rejected; none if it can wait.
   pub fn excess_of(&self, now: Instant, supply: &Supply, newcomer: &Newcomer) -> Option<Reason> {
     let late_limit = self.late_limit(now, newcomer.queued);
-    let deadline = newcomer.deadline();
+    let deadline = newcomer.deadline(self.patience);
     if is_late(now, deadline, supply.answer()) {
       return (self.late.len() as f64 >= late_limit).then_some(Reason::Late);
     }
@@ -145,7 +146,11 @@
   /// How many flows of an overloaded class may wait, as the limits apply to a flow that starts now and
   /// has the objective of the last one.
   pub fn limit(&self, now: Instant, supply: &Supply) -> f64 {
-    let on_time = self.on_time_limit(now, now + self.objective, supply.answer());
+    let on_time = self.on_time_limit(
+      now,
+      now + self.objective.min(self.patience.total),
+      supply.answer(),
+    );
     on_time + self.late_limit(now, (now, FIRST_FLOW))
   }
 
@@ -156,7 +161,7 @@
     let caller = *flow.caller.ip();
     self.drain.expire(now);
     let running = self.drain.flows_of(caller);
-    let deadline = newcomer.deadline();
+    let deadline = newcomer.deadline(self.patience);
     let entry = Entry {
       deadline,
       is_late: is_late(now, deadline, answer),
@@ -189,7 +194,7 @@
     }
   }
 
-  /// Records that a flow was rejected or displaced.
+  /// Records that a flow was rejected or displaced, or expired.
   pub fn record_excess(&mut self, now: Instant) {
     self.excess = Some(now);
   }
--- a/tests/datagram/shedding.rs
+++ b/tests/datagram/shedding.rs
@@ -61,6 +61,7 @@
 struct Line {
   ends: BTreeMap<Flow, (End, u8, Duration)>,
   now: Instant,
+  objective: Duration,
   placed: Vec<(Instant, FlowClass, Flow, bool)>,
   ports: u16,
   rate: f64,
@@ -75,6 +76,7 @@
     let mut line = Self {
       ends: BTreeMap::new(),
       now: Instant::now() + Duration::from_secs(100),
+      objective: OBJECTIVE,
       placed: Vec::new(),
       ports: 0,
       rate,
@@ -122,7 +124,7 @@
   }
 
   fn is_in_time(&self, (first, _): Queued, wait: Duration) -> bool {
-    self.now + wait <= first + OBJECTIVE
+    self.now + wait <= first + self.objective.min(PATIENCE.total)
   }
 
   /// A flow of a caller arrives that started `age` ago; false if it is rejected.
@@ -141,7 +143,7 @@
     let list = self.waiting.entry(class.clone()).or_default();
     let level = running.count() + list.keys().filter(of_caller).count();
     let newcomer = Newcomer {
-      objective: OBJECTIVE,
+      objective: self.objective,
       queued,
     };
     let was_overloaded = self.is_overloaded(priority);
@@ -257,7 +259,8 @@
     let left = (queued.0 + PATIENCE.total - self.now).as_secs_f64();
     let late_limit = self.rate(class, true) * left;
     if self.is_in_time(queued, ANSWER) {
-      let may_wait = (queued.0 + OBJECTIVE - (self.now + ANSWER)).as_secs_f64();
+      let may_wait =
+        (queued.0 + self.objective.min(PATIENCE.total) - (self.now + ANSWER)).as_secs_f64();
       let limit = self.rate(class, false) * may_wait;
       assert!(list.len() as f64 - late >= limit - 1e-6);
       assert!(list.len() as f64 >= limit + late_limit - 1e-6);
@@ -281,7 +284,7 @@
       let flows = self.waiting[&class].values();
       let expired = flows.filter(|flow| self.now - flow.queued.0 >= ms(1380));
       for flow in expired.copied().collect::<Vec<_>>() {
-        self.shedding.remove(&class, flow.queued);
+        self.shedding.expire(self.now, &class, flow.queued);
         self.end(&class, flow.queued, End::Expired);
       }
       for queued in self.shedding.shed(self.now, &class) {
@@ -400,6 +403,19 @@
   assert!(rejected[rejected.len() / 2] <= ms(50), "{rejected:?}");
 }
 
+/// Guards against flows that count as on time until they expire, so that none is rejected early.
+#[test]
+fn flows_with_an_objective_beyond_the_patience_are_rejected_early() {
+  let mut line = Line::new(50.0, None);
+  line.objective = ms(5000);
+  line.run(6000, &[(0, 12)], Some(20));
+  assert!(line.is_overloaded(0));
+  line.ends.clear();
+  line.run(4000, &[(0, 12)], Some(20));
+  let (expired, rejected) = (line.ages(0, End::Expired), line.ages(0, End::Rejected));
+  assert!(expired.len() * 20 <= rejected.len(), "{expired:?}");
+}
+
 #[test]
 fn a_higher_priority_is_in_time_while_lower_ones_wait() {
   let mut line = Line::new(50.0, None);
