Count a queue as standing once callers have stopped trying

A caller whose flow is not answered tries again, but one whose flow is reset uses up all its tries at once, so that rejections after 700 ms cost callers that holding would have served. A queue now counts as standing after 2.8 s, the time of two flows, and the shared limit is what targets answer in that time. Rates are measured over half of the patience as before.

--- a/src/datagram/balancer/patience.rs
+++ b/src/datagram/balancer/patience.rs
@@ -27,10 +27,17 @@
     self.total.saturating_sub(age)
   }
 
-  /// The time over which rates are measured and after which a queue counts as standing. An overload
-  /// is expected to last as long again as it has lasted: from half of the patience on, a flow that
-  /// arrived at its start would have to wait longer than its caller does.
+  /// The time over which rates are measured. An overload is expected to last as long again as it has
+  /// lasted: from half of the patience on, a flow that arrived at its start would have to wait longer
+  /// than its caller does.
   pub fn window(self) -> Duration {
     self.total / 2
   }
+
+  /// The time for which a caller goes on trying without a reset: two flows. A caller whose flow is not
+  /// answered tries again, while one whose flow is reset uses up all its tries at once. A queue
+  /// therefore counts as standing only after this time, and may hold what is served within it.
+  pub fn persistence(self) -> Duration {
+    self.total * 2
+  }
 }
--- a/src/datagram/balancer/reason.rs
+++ b/src/datagram/balancer/reason.rs
@@ -9,7 +9,7 @@
   Displaced,
   /// Its caller would give up before an answer reached it.
   Expired,
-  /// The queue holds as many flows as all targets can answer before callers give up.
+  /// The queue holds as many flows as all targets can answer while callers go on trying.
   Full,
   /// It is too late for its objective, and the queue holds as many late flows as will be placed.
   Late,
--- a/src/datagram/balancer/shedding.rs
+++ b/src/datagram/balancer/shedding.rs
@@ -188,10 +188,12 @@
     is_full.then_some(Reason::Full)
   }
 
-  /// How many flows of a service may wait in all balancers: as many as its targets answer before
-  /// callers give up. None if their rate was never known.
+  /// How many flows of a service may wait in all balancers: as many as its targets answer while
+  /// callers go on trying. None if their rate was never known.
   fn shared_limit(&self, supply: &Supply) -> Option<f64> {
-    supply.rate().map(|rate| rate.within(self.patience.total))
+    supply
+      .rate()
+      .map(|rate| rate.within(self.patience.persistence()))
   }
 
   /// How many flows of the class's priority and of higher ones wait in all balancers, as far as known.
--- a/src/datagram/balancer/waitlist.rs
+++ b/src/datagram/balancer/waitlist.rs
@@ -115,8 +115,8 @@
     entry.is_some_and(|entry| entry.is_late)
   }
 
-  /// Whether the class is overloaded: flows have been waiting for the whole window, some were placed
-  /// in it, and some were too late, rejected, displaced or expired in it. Flows that all wait for less than
+  /// Whether the class is overloaded: flows have been waiting for as long as callers go on trying, some
+  /// were placed in the last window, and some were too late, rejected, displaced or expired in it. Flows that all wait for less than
   /// their objective are served in time; but where others were turned away to achieve that, the
   /// overload goes on.
   pub fn is_overloaded(&self, now: Instant, supply: &Supply) -> bool {
@@ -124,7 +124,7 @@
     let age = |at: Instant| now.saturating_duration_since(at);
     self
       .standing_since
-      .is_some_and(|since| age(since) >= window)
+      .is_some_and(|since| age(since) >= self.patience.persistence())
       && self.excess.is_some_and(|excess| age(excess) < window)
       && self.drain.is_active(now)
       && supply.is_measured(now, window)
