--- a/src/datagram/balancer/capacity.rs
+++ b/src/datagram/balancer/capacity.rs
@@ -9,7 +9,7 @@
 pub struct Capacity {
   /// The time to process a request that isn't queued: the mean of the targets.
   pub answer: Duration,
-  /// The requests that the targets can answer.
+  /// The requests per second that the targets can answer.
   pub rate: PerSecond,
   /// How many flows wait for the service in all balancers: the highest that an agent has reported;
   /// none without a recent report.
@@ -19,7 +19,8 @@
 impl Targets {
   /// The capacity of the listed targets of a service.
   pub fn capacity(&self, now: Instant, service: &Service) -> Capacity {
-    // An agent that is reached reports within this time, so that an older report is out of date.
+    // The interval of statuses within a data centre. Agents of other data centres report less often;
+    // between their reports only the others count.
     let report_ttl = self.tuning.status;
     let agents = self.services.get(service).into_iter().flatten();
     let known = agents.filter_map(|agent| Some((agent, self.by_agent.get(agent)?)));
--- a/src/datagram/balancer/class_state.rs
+++ b/src/datagram/balancer/class_state.rs
@@ -5,9 +5,9 @@
 pub struct ClassState {
   /// How many callers have flows that wait.
   pub callers: usize,
-  /// The placements a second.
+  /// The placements per second.
   pub drain_rate: f64,
-  /// The placements a second that were too late for their objective.
+  /// The placements per second that were too late for their objective.
   pub late_rate: f64,
   /// How many flows may wait; none if they are held without a limit.
   pub limit: Option<f64>,
--- a/src/datagram/balancer/drain.rs
+++ b/src/datagram/balancer/drain.rs
@@ -44,14 +44,14 @@
     last.is_some_and(|last| self.is_recent(now, last.at))
   }
 
-  /// The placements a second.
+  /// The placements per second.
   pub fn rate(&self, now: Instant) -> PerSecond {
     let placed = &self.placed;
     let old = placed.partition_point(|placement| !self.is_recent(now, placement.at));
     PerSecond::of(placed.len() - old, self.window)
   }
 
-  /// The placements a second that were too late for their objective.
+  /// The placements per second that were too late for their objective.
   pub fn late_rate(&self, now: Instant) -> PerSecond {
     let old = self.late.partition_point(|at| !self.is_recent(now, *at));
     PerSecond::of(self.late.len() - old, self.window)
--- a/src/datagram/balancer/measuring.rs
+++ b/src/datagram/balancer/measuring.rs
@@ -1,7 +1,7 @@
 //! Measures what the admission queue relies on, and shows its state.
 
 use {
-  super::{choosing::Choice, machine::Machine, queue::Queued},
+  super::{choosing::Choice, class_state::ClassState, machine::Machine, queue::Queued},
   crate::datagram::{Codec, Flow, Service},
   serde_json::json,
   std::time::Instant,
@@ -49,11 +49,25 @@
   /// Logs the classes that have become overloaded or have recovered.
   pub(super) fn log_overload(&mut self, now: Instant) {
     for (class, state) in self.shedding.changes(now) {
-      log::info!(
-        service:% = class.service, priority = class.priority, overloaded = state.overloaded,
-        queued = state.queued, drain_rate = state.drain_rate, late_rate = state.late_rate;
-        "balancer: class has become overloaded or has recovered."
-      );
+      let ClassState {
+        queued,
+        drain_rate,
+        late_rate,
+        ..
+      } = state;
+      if state.overloaded {
+        log::info!(
+          service:% = class.service, priority = class.priority, queued = queued,
+          drain_rate = drain_rate, late_rate = late_rate;
+          "balancer: class is overloaded."
+        );
+      } else {
+        log::info!(
+          service:% = class.service, priority = class.priority, queued = queued,
+          drain_rate = drain_rate, late_rate = late_rate;
+          "balancer: class has recovered."
+        );
+      }
     }
   }
 
--- a/src/datagram/balancer/per_second.rs
+++ b/src/datagram/balancer/per_second.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-/// A rate of flows, a second.
+/// A rate, in flows per second.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
 pub struct PerSecond(pub f64);
 
--- a/src/datagram/balancer/shedding.rs
+++ b/src/datagram/balancer/shedding.rs
@@ -233,6 +233,7 @@
       return None;
     }
     let most = list.flows_of(*flow.caller.ip());
+    // With a difference of one, displacement would only swap the two callers.
     (most >= list.flows_of(caller) + 2).then_some((class.clone(), (first, flow)))
   }
 
--- a/src/datagram/balancer/supply.rs
+++ b/src/datagram/balancer/supply.rs
@@ -11,7 +11,7 @@
   placed: Option<Instant>,
   /// Since when flows of the service have been placed, without a pause as long as the window.
   placing_since: Option<Instant>,
-  /// The last rate above zero.
+  /// The last rate above zero, in requests per second.
   rate: Option<PerSecond>,
 }
 
@@ -29,8 +29,8 @@
     self.capacity.answer
   }
 
-  /// The requests that the targets can answer, or could before their rate fell to zero; none if that
-  /// was never known.
+  /// The requests per second that the targets can answer, or could before their rate fell to zero;
+  /// none if that was never known.
   pub fn rate(&self) -> Option<PerSecond> {
     self.rate
   }
