Estimate the start of a request with the queue at its limit

The trial that decides whether a request can start in time played a full queue with one request more than its limit, so that a request was rejected for one ahead of it that the limit then removed. The trial now removes the excess first, and leaves the decision to the limit if the excess is the new request. The model of the slots takes the same step; a new test has such a request queued.

--- a/src/admission/machine.rs
+++ b/src/admission/machine.rs
@@ -140,12 +140,13 @@
   /// times, since a request that could have started must not be rejected by an estimate.
   fn is_hopeless(&self, now: Instant, new: Request) -> bool {
     let run_time = self.mean_run_time / 2;
-    !self.scheduler.would_start(now, new, self.slots(), run_time)
+    let (limit, slots) = (self.queue_limit(), self.slots());
+    !self.scheduler.would_start(now, new, slots, limit, run_time)
   }
 
   /// When the queue is too long, removes the newest request of the caller that has the most queued.
   fn dequeue_excess(&mut self) -> Option<Request> {
-    if self.scheduler.queued() <= self.slots() * self.settings.queue_per_slot {
+    if self.scheduler.queued() <= self.queue_limit() {
       return None;
     }
     self.scheduler.dequeue_newest_of_longest()
@@ -197,6 +198,11 @@
     self.mean_run_time / self.slots() as u32
   }
 
+  /// The longest queue.
+  fn queue_limit(&self) -> usize {
+    self.slots() * self.settings.queue_per_slot
+  }
+
   fn slots(&self) -> usize {
     self.settings.slots.max(1)
   }
--- a/src/admission/scheduler.rs
+++ b/src/admission/scheduler.rs
@@ -127,8 +127,16 @@
   }
 
   /// Whether a new request would start before its deadline if it were queued and each running and
-  /// queued request took `run_time`.
-  pub fn would_start(&self, now: Instant, new: Request, slots: usize, run_time: Duration) -> bool {
+  /// queued request took `run_time`. True as well if the request is the one that a queue of at most
+  /// `limit` requests has no room for: it is then rejected by the limit, not by this estimate.
+  pub fn would_start(
+    &self,
+    now: Instant,
+    new: Request,
+    slots: usize,
+    limit: usize,
+    run_time: Duration,
+  ) -> bool {
     // After this many rounds even the last one has started.
     let rounds = (self.running() + self.queued()) / slots + 1;
     if new.start_by > now + run_time * rounds as u32 {
@@ -136,6 +144,12 @@
     }
     let mut trial = self.clone();
     trial.enqueue(new);
+    if trial.queued() > limit {
+      let excess = trial.dequeue_newest_of_longest();
+      if excess.is_some_and(|excess| excess.ticket == new.ticket) {
+        return true;
+      }
+    }
     trial.starts(now, new, slots, run_time)
   }
 
--- a/tests/machines/fair.rs
+++ b/tests/machines/fair.rs
@@ -135,6 +135,9 @@
     let half = self.mean / 2;
     let mut scan = self.clone();
     scan.queued.push(new);
+    if scan.queued.len() > SLOTS * QUEUE_PER_SLOT && scan.remove_newest() == new.2 {
+      return false;
+    }
     let end = |running: &(Instant, Request)| ((running.0 + half).max(now), running.1.2);
     while let Some((time, ticket)) = scan.running.iter().map(end).min() {
       scan.running.retain(|running| running.1.2 != ticket);
--- a/tests/machines/retry.rs
+++ b/tests/machines/retry.rs
@@ -142,6 +142,26 @@
   assert_eq!(actions, [Action::Wait(Ticket(3))]);
 }
 
+/// A request must not be rejected for one ahead of it that the limit of the queue removes.
+#[test]
+fn request_that_starts_in_time_once_the_queue_is_cut_is_queued() {
+  let mut machine = machine(SECOND, 1, Spread::default());
+  let now = Instant::now();
+  machine.step(now, arrived(now, 0, 0, SECOND));
+  for (ticket, patience) in [(1, 600), (2, 1100)] {
+    let actions = machine.step(now, arrived(now, ticket, 1, patience * MS));
+    assert_eq!(actions, [Action::Wait(Ticket(ticket))]);
+  }
+  let actions = machine.step(now, arrived(now, 3, 2, 1200 * MS));
+  assert!(
+    matches!(
+      actions[..],
+      [Action::Wait(Ticket(3)), Action::Shed(Ticket(2), _)]
+    ),
+    "{actions:?}"
+  );
+}
+
 /// A request that a peer handed off is told by that peer, so that it must not be expected here too.
 #[test]
 fn rejected_hand_off_does_not_delay_others() {
