Do not count a handed-off feed as a caller's return

A feed takes no slot and is never rejected, but its hand-off to a peer removed the caller's earliest retry delay from those expected. The hand-off of a feed is no longer noted; that of other requests is as before.

--- a/src/agent/runner.rs
+++ b/src/agent/runner.rs
@@ -59,7 +59,10 @@
   if !call.local_only
     && let Some(reply) = hand_off_to_peers(shared, &call).await
   {
-    shared.slots.note_hand_off(hash_caller(call.caller));
+    // A feed takes no slot and is never rejected, so that its caller is not expected back for it.
+    if !call.route.feed {
+      shared.slots.note_hand_off(hash_caller(call.caller));
+    }
     return reply;
   }
   if leaving {
