Spread delays by order with independent numbers

The two numbers of a rejection always added up to 1, so that the place within the drain decided the rounding and the mean delay was off by up to 46 ms. They are now multiples of two powers of the inverse of the plastic number. The test holds the mean by order within 5 ms and covers a drain of 4.7 s.

--- a/src/admission/spread.rs
+++ b/src/admission/spread.rs
@@ -1,7 +1,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// The inverse of the golden ratio: the multiples of it, modulo 1, fill the range most evenly.
-const GOLDEN: f64 = 0.618_033_988_749_894_9;
+/// The first two powers of the inverse of the plastic number. The multiples of both, modulo 1, fill
+/// the unit square evenly. Powers of the golden ratio do not: the two add up to 1.
+const STEPS: [f64; 2] = [0.754_877_666_246_692_7, 0.569_840_290_998_053_2];
 
 /// What the retry delays of several callers are spread by.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -26,11 +27,8 @@
         (fraction(0), fraction(1))
       }
       Self::Order => {
-        let rejection = rejection as f64;
-        (
-          (rejection * GOLDEN).fract(),
-          (rejection * GOLDEN * GOLDEN).fract(),
-        )
+        let [place, rounding] = STEPS.map(|step| (rejection as f64 * step).fract());
+        (place, rounding)
       }
     }
   }
--- a/tests/machines/retry.rs
+++ b/tests/machines/retry.rs
@@ -76,11 +76,12 @@
   assert!((40..=41).contains(&delay.as_secs()), "{delay:?}");
 }
 
-/// Rounding up leaves slots idle: a mean of 2.3 s must not be told as 3 s.
+/// Rounding up leaves slots idle: a mean of 2.3 s must not be told as 3 s. Where the place and the
+/// rounding depend on each other, the mean is off by up to 46 ms.
 #[test]
 fn spreading_and_rounding_keep_the_average() {
-  for spread in [Spread::Caller, Spread::Order] {
-    for drain_ms in [1500, 2300, 7000] {
+  for (spread, error) in [(Spread::Caller, 60 * MS), (Spread::Order, 5 * MS)] {
+    for drain_ms in [1500, 2300, 4700, 7000] {
       let mut retry = Retry::new(spread);
       let (now, drain) = (Instant::now(), drain_ms * MS);
       let delays = (0..4000).map(|caller| {
@@ -99,7 +100,7 @@
         Duration::ZERO
       };
       assert!(
-        mean.abs_diff(drain) < 60 * MS + excess,
+        mean.abs_diff(drain) < error + excess,
         "{spread:?} {drain:?} {mean:?}"
       );
     }
