Remember at most eight retry delays of one caller

A caller that ignored its delay added an entry with each try, filled all 4,096 places and lengthened everybody's delay. At most eight entries of one caller are now kept, and further ones are told a delay without being remembered. A test rejects one caller 10,000 times and checks the delay of another; the model test has the same rule.

--- a/src/admission/retry.rs
+++ b/src/admission/retry.rs
@@ -10,6 +10,10 @@
 /// and counts as a new one when it comes back.
 const TOLD_MAX: usize = 4096;
 
+/// The most retry delays of one caller that are remembered. A caller that ignores its delay adds one
+/// with each try and lengthens the delays of all others, by at most as many service times.
+const TOLD_PER_CALLER_MAX: usize = 8;
+
 /// How long after its retry delay a caller is still expected: delays are whole seconds, so callers
 /// that round up themselves come up to a second later.
 const GRACE: Duration = Duration::from_secs(1);
@@ -88,7 +92,11 @@
   }
 
   fn expect(&mut self, caller: u64, expected: Expected, returning: bool) {
-    if self.told.len() >= TOLD_MAX {
+    let of_caller = self.told.range((caller, None)..);
+    let of_caller = of_caller.take_while(|((other, _), _)| *other == caller);
+    if self.told.len() >= TOLD_MAX
+      || of_caller.take(TOLD_PER_CALLER_MAX).count() == TOLD_PER_CALLER_MAX
+    {
       return;
     }
     self.by_time.insert((expected, caller));
--- a/tests/machines/retry.rs
+++ b/tests/machines/retry.rs
@@ -76,6 +76,21 @@
   assert!((40..=41).contains(&delay.as_secs()), "{delay:?}");
 }
 
+/// A caller that ignores its delay must neither fill all places nor lengthen the delays of others
+/// with each try.
+#[test]
+fn caller_that_ignores_its_delay_holds_at_most_eight_places() {
+  let mut retry = Retry::default();
+  let now = Instant::now();
+  for _ in 0..10_000 {
+    reject(&mut retry, now, 0, false);
+  }
+  assert_eq!(retry.expected(), 8);
+  let delay = reject(&mut retry, now, 1, false);
+  assert!((8..=9).contains(&delay.as_secs()), "{delay:?}");
+  assert_eq!(retry.expected(), 9);
+}
+
 /// Rounding up leaves slots idle: a mean of 2.3 s must not be told as 3 s. Where the place and the
 /// rounding depend on each other, the mean is off by up to 46 ms.
 #[test]
@@ -313,7 +328,7 @@
   #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
   /// Each delay is a whole number of seconds and at least one; each caller that was told is expected
-  /// until it comes back or a second after its time.
+  /// until it comes back or a second after its time, for at most eight delays at once.
   #[test]
   fn told_callers_are_expected_until_a_second_after_their_time(
     steps in prop::collection::vec((any::<bool>(), 0..8_u64, 0..1500_u64), 1..200),
@@ -333,7 +348,9 @@
       if rejected {
         let delay = retry.reject(now, caller, due.is_some(), 3 * MS * time as u32, 200 * MS);
         prop_assert!(delay >= SECOND && delay.subsec_nanos() == 0, "{:?}", delay);
-        told.push((now + delay, caller));
+        if told.iter().filter(|other| other.1 == caller).count() < 8 {
+          told.push((now + delay, caller));
+        }
       }
       prop_assert_eq!(retry.expected(), told.len());
     }
