--- a/src/command/demand.rs
+++ b/src/command/demand.rs
@@ -74,15 +74,26 @@
   }
 }
 
+/// A number with its noun, which has an "s" unless the number is 1.
+fn counted(number: u64, noun: &str) -> String {
+  let plural = if number == 1 { "" } else { "s" };
+  format!("{number} {noun}{plural}")
+}
+
 impl Display for Demand {
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     write!(
       f,
-      "{} priority {}: {} flows of {} callers wait, the oldest for {} ms",
-      self.service, self.priority, self.queued, self.callers, self.oldest_ms
+      "{} priority {}: {} of {} {}, the oldest for {} ms",
+      self.service,
+      self.priority,
+      counted(self.queued, "flow"),
+      counted(self.callers, "caller"),
+      if self.queued == 1 { "waits" } else { "wait" },
+      self.oldest_ms
     )?;
     if self.balancers > 0 {
-      write!(f, ", at {} balancers", self.balancers)?;
+      write!(f, ", at {}", counted(self.balancers as u64, "balancer"))?;
     }
     if let Some(drain_rate) = self.drain_rate {
       write!(f, "; {drain_rate:.1} placed a second")?;
