--- a/src/admission/retry.rs
+++ b/src/admission/retry.rs
@@ -37,7 +37,7 @@
 }
 
 impl Retry {
-  /// Nobody was told yet.
+  /// Creates the state before any rejection.
   pub fn new(spread: Spread) -> Self {
     Self {
       spread,
--- a/src/agent/slots.rs
+++ b/src/agent/slots.rs
@@ -78,7 +78,8 @@
     }
   }
 
-  /// Takes note that a peer runs a request of a caller, which may have come back as it was told.
+  /// Records that a peer runs a request of this caller, so that the caller is no longer expected
+  /// back.
   pub fn note_hand_off(&self, caller: u64) {
     lock(&self.0).step(Event::HandedOff { caller });
   }
--- a/src/fair/caller.rs
+++ b/src/fair/caller.rs
@@ -3,7 +3,7 @@
 /// A caller that has an entry; the greatest is that with the most entries.
 #[derive(Clone, Copy, Debug)]
 pub struct Caller<C, T> {
-  /// Which it is.
+  /// The caller's identifier.
   pub id: C,
   /// Its greatest entry.
   pub last: T,
--- a/src/fair/entry.rs
+++ b/src/fair/entry.rs
@@ -3,11 +3,11 @@
 /// A queued entry; the greatest is that with the greatest value, whatever its level.
 #[derive(Clone, Copy, Debug)]
 pub struct Entry<C, T> {
-  /// Whose it is.
+  /// The caller that queued the entry.
   pub caller: C,
   /// What its caller had queued or running when it was inserted.
   pub level: u32,
-  /// What the user of the queue gave.
+  /// The value passed to `Queue::insert`.
   pub value: T,
 }
 
--- a/src/fair/item.rs
+++ b/src/fair/item.rs
@@ -1,9 +1,9 @@
-/// What stands in a tree.
+/// An item of a tree.
 pub trait Item: Copy {
-  /// The place in the tree, different for each item.
+  /// The unique key by which items are ordered.
   type Key: Copy + Ord;
 
-  /// Its place in the tree.
+  /// Returns the item's key.
   fn key(&self) -> Self::Key;
 
   /// Whether it comes after another one by what the tree finds the greatest of, which is not the key.
--- a/src/fair/tree.rs
+++ b/src/fair/tree.rs
@@ -1,6 +1,6 @@
 use {super::item::Item, std::cmp::Ordering};
 
-/// The index of no node.
+/// Marks an absent child, or the root of an empty tree.
 const NONE: u32 = u32::MAX;
 
 /// Any state but 0 works for the generator of priorities.
