Count no answers on trial while earlier requests are in flight

Cause: a target on trial answers requests from before the trial too; these doubled what it is allowed.

Change: while it has more requests than allowed, its answers are noted but count for nothing.

Result: a test with 8 earlier requests passes.

--- a/src/datagram/uneven/relief.rs
+++ b/src/datagram/uneven/relief.rs
@@ -120,7 +120,13 @@
     };
     // A count that has decreased is that of a restarted agent, or has wrapped around: it proves no
     // answer.
-    let doublings = sample.answers.saturating_sub(answers);
+    let answered = sample.answers.saturating_sub(answers);
+    // With more requests than are allowed, answers may be those of requests from before the trial.
+    let doublings = if sample.in_flight > allowed {
+      0
+    } else {
+      answered
+    };
     let allowed = f64::from(allowed) * f64::from(doublings.min(16)).exp2();
     let share = f64::from(sample.slots) * per_slot.max(1.0);
     (allowed < share).then_some(Self::Trial {
--- a/tests/datagram/uneven/relief.rs
+++ b/tests/datagram/uneven/relief.rs
@@ -119,6 +119,25 @@
   }
 }
 
+/// Guards against answers of requests from before a trial as proof that the target has recovered.
+#[test]
+fn answers_of_earlier_requests_prove_nothing() {
+  let mut relief = Relief::default();
+  let mut all = samples(&[1.0, 1.0, 5.0]);
+  relief.update(&all);
+  all[2].1 = Sample {
+    in_flight: 8,
+    ratio: None,
+    ..all[2].1
+  };
+  relief.update(&all);
+  all[2].1.answers = 7;
+  relief.update(&all);
+  all[2].1.in_flight = 1;
+  relief.update(&all);
+  assert!(relief.permits(2, 0) && !relief.permits(2, 1));
+}
+
 proptest! {
   #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
