Compare no target by an old load

Cause: a target that is no longer heard from kept its ratio, so that it could take the place of another slow one among those that may be relieved.

Change: a load older than LOAD_TTL gives no speed, no ratio and no failures for relief.

Result: a test with two slow targets, of which the worse falls silent, passes.

--- a/src/datagram/balancer/comparison.rs
+++ b/src/datagram/balancer/comparison.rs
@@ -129,10 +129,10 @@
     comparison.is_outdated = false;
     comparison.medians = self.medians(service);
     comparison.speeds = self.speeds(now, service);
-    self.update_members(service, &mut comparison);
+    self.update_members(now, service, &mut comparison);
     let medians = comparison.medians;
     let samples = self.members(service);
-    let samples = samples.map(|(agent, target)| (agent, sample(target, medians)));
+    let samples = samples.map(|(agent, target)| (agent, sample(now, target, medians)));
     comparison.update(&samples.collect::<SmallVec<[_; 64]>>());
     self.update_crossings(now, service, &mut comparison);
     self.comparisons.insert(service.clone(), comparison);
@@ -140,9 +140,8 @@
 
   /// The medians of the kinds of work at a service's targets, as far as their loads are recent.
   fn speeds(&self, now: Instant, service: &Service) -> Speeds {
-    let is_recent = |at: Instant| now.saturating_duration_since(at) < LOAD_TTL;
     let targets = self.members(service).map(|(_, target)| target);
-    let recent = targets.filter(|target| target.last_heard.is_some_and(is_recent));
+    let recent = targets.filter(|target| has_recent_load(now, target));
     let times = recent.map(|target| &target.load.times);
     let times = times.collect::<SmallVec<[_; 64]>>();
     Speeds::new(times.iter().copied())
@@ -156,12 +155,16 @@
   }
 
   /// Updates the speeds of targets, and which of them have just joined.
-  fn update_members(&mut self, service: &Service, comparison: &mut Comparison) {
+  fn update_members(&mut self, now: Instant, service: &Service, comparison: &mut Comparison) {
     for agent in self.services.get(service).into_iter().flatten() {
       let Some(target) = self.by_agent.get_mut(agent) else {
         continue;
       };
-      target.speed = comparison.speeds.ratio(&target.load.times);
+      target.speed = if has_recent_load(now, target) {
+        comparison.speeds.ratio(&target.load.times)
+      } else {
+        None
+      };
       target.was_measured |= target.load.service_ms > 0;
       if target.was_measured || target.service != *service || target.removed.is_some() {
         comparison.joining.remove(*agent);
@@ -259,10 +262,17 @@
   }
 }
 
+/// Whether a target was heard from within `LOAD_TTL`.
+fn has_recent_load(now: Instant, target: &TargetState) -> bool {
+  let is_recent = |at: Instant| now.saturating_duration_since(at) < LOAD_TTL;
+  target.last_heard.is_some_and(is_recent)
+}
+
 /// What the relief of a service needs to know of a target.
-fn sample(target: &TargetState, medians: Medians) -> Sample {
+fn sample(now: Instant, target: &TargetState, medians: Medians) -> Sample {
+  let is_recent = has_recent_load(now, target);
   let service_ms = f64::from(target.load.service_ms);
-  let is_comparable = service_ms > 0.0 && medians.service_ms > 0.0;
+  let is_comparable = is_recent && service_ms > 0.0 && medians.service_ms > 0.0;
   let failure_ms = failure_cost_ms(target, medians);
   let ratio = is_comparable.then(|| {
     let ratio = target.speed.unwrap_or(service_ms / medians.service_ms);
@@ -270,7 +280,7 @@
   });
   Sample {
     answers: target.load.answers,
-    fails: failure_ms > 0.0,
+    fails: is_recent && failure_ms > 0.0,
     in_flight: target.in_flight(),
     ratio,
     slots: target.slots,
--- a/tests/datagram/uneven/balancer.rs
+++ b/tests/datagram/uneven/balancer.rs
@@ -208,3 +208,26 @@
   }
   assert!(second > 10, "{second}");
 }
+
+/// Guards against a target that is no longer heard from and takes the place of another slow one
+/// among those that may be relieved.
+#[test]
+fn an_old_load_relieves_no_target() {
+  let load = |host| {
+    let ms = match host {
+      13 => 200,
+      14 => 80,
+      _ => 20,
+    };
+    measured(ms, 0)
+  };
+  let mut balancer = balancer(11..16, 0..0);
+  feed(&mut balancer, 11..16, load);
+  balancer.now += ms(3000);
+  feed(&mut balancer, 11..13, load);
+  feed(&mut balancer, 14..16, load);
+  let shares = shares(&mut balancer, 1000..1300, load);
+  // 300 flows, of which 1 in 13 belongs to the slow target.
+  let slow = shares.get(&14).copied().unwrap_or_default();
+  assert!((5..=45).contains(&slow), "{shares:?}");
+}
