Remove what is known of a target that has left or started again

Cause: relief and joining kept the entry of an upstream's previous incarnation, and joining that of targets that are not listed any more.

Change: a later start time removes the target's entries; a comparison drops those of targets that it does not sample.

Result: the tests of restarted and new targets pass; none is new.

--- a/src/datagram/balancer/comparison.rs
+++ b/src/datagram/balancer/comparison.rs
@@ -73,6 +73,14 @@
       .map(|(_, sample)| f64::from(sample.slots))
       .sum();
     self.relief.update(samples);
+    let is_member = |agent| samples.iter().any(|(other, _)| *other == agent);
+    self.joining.retain(is_member);
+  }
+
+  /// Removes what is known of a target whose upstream has started again.
+  pub(super) fn remove(&mut self, agent: SocketAddrV4) {
+    self.relief.remove(agent);
+    self.joining.remove(agent);
   }
 }
 
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -440,6 +440,11 @@
       let target = before
         .remove(&agent)
         .unwrap_or_else(|| TargetState::new(entry));
+      if entry.target.start_time > target.start_time {
+        for comparison in self.comparisons.values_mut() {
+          comparison.remove(agent);
+        }
+      }
       self.by_agent.insert(agent, target.updated(entry));
     }
   }
--- a/src/datagram/uneven/joining.rs
+++ b/src/datagram/uneven/joining.rs
@@ -45,6 +45,11 @@
     self.joined.remove(&target);
   }
 
+  /// Removes the targets that `is_member` does not name.
+  pub fn retain(&mut self, is_member: impl Fn(K) -> bool) {
+    self.joined.retain(|target, _| is_member(*target));
+  }
+
   /// Counts a flow that is placed on a target of the service and brings so many requests.
   pub fn record(&mut self, target: K, requests: f64) {
     self.placed += requests;
--- a/src/datagram/uneven/relief.rs
+++ b/src/datagram/uneven/relief.rs
@@ -70,6 +70,11 @@
     }
   }
 
+  /// Removes a target whose upstream has started again.
+  pub fn remove(&mut self, target: K) {
+    self.states.remove(&target);
+  }
+
   /// Whether no target is relieved or tried again.
   pub fn is_empty(&self) -> bool {
     self.states.is_empty()
