Do not count requests of flows that were not counted

Cause: requests of flows from before the measurements were dropped raised the mean number of requests in a flow.

Change: requests count once a flow has begun.

Result: a test with 100 such requests passes.

--- a/src/datagram/uneven/kinds.rs
+++ b/src/datagram/uneven/kinds.rs
@@ -68,7 +68,10 @@
       measured.flows += 1.0 - measured.flows / FLOWS;
       measured.requests -= measured.requests / FLOWS;
     }
-    measured.requests += 1.0;
+    // Requests of flows that were not counted would raise the mean.
+    if measured.flows > 0.0 {
+      measured.requests += 1.0;
+    }
   }
 
   /// The measurements of a kind, which becomes the most recently used one.
--- a/tests/datagram/uneven/speeds.rs
+++ b/tests/datagram/uneven/speeds.rs
@@ -87,6 +87,23 @@
   assert!(times.get(kind(1)) > Some(ms(20)), "{times:?}");
 }
 
+/// Guards against requests of flows that began before the measurements were dropped, which would
+/// raise the mean number of requests in the flows since.
+#[test]
+fn requests_of_uncounted_flows_do_not_raise_the_mean() {
+  let now = Instant::now();
+  let mut kinds = Kinds::default();
+  kinds.record(now, kind(1), ms(20));
+  for _ in 0..100 {
+    kinds.begin(now, kind(1), false);
+  }
+  kinds.begin(now, kind(1), true);
+  kinds.begin(now, kind(1), false);
+  let times = kinds.times(&[]);
+  let requests = Speeds::new([times].iter()).requests_per_flow(kind(1));
+  assert!((requests - 2.0).abs() < 1e-9, "{requests}");
+}
+
 proptest! {
   #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
