Let a target join once it is heard from and not down

Cause: a target joined when it was listed. Flows placed before it could serve counted for its share, so that it got every flow at first.

Change: it joins once its agent was heard from and reports an upstream that is up.

Result: a test of a target that is heard from 100 flows after its listing passes; the case of one that is down has no test of its own.

--- a/src/datagram/balancer/comparison.rs
+++ b/src/datagram/balancer/comparison.rs
@@ -176,7 +176,7 @@
       target.was_measured |= target.load.service_ms > 0;
       if target.was_measured || target.service != *service || target.removed.is_some() {
         comparison.joining.remove(*agent);
-      } else {
+      } else if target.last_heard.is_some() && !target.load.down {
         comparison.joining.join(*agent);
       }
     }
--- a/tests/datagram/uneven/balancer.rs
+++ b/tests/datagram/uneven/balancer.rs
@@ -231,3 +231,20 @@
   let slow = shares.get(&14).copied().unwrap_or_default();
   assert!((5..=45).contains(&slow), "{shares:?}");
 }
+
+/// Guards against a target that is listed long before it is heard from, and then gets every flow
+/// until it has twice its share of all flows since it was listed.
+#[test]
+fn a_target_joins_when_it_is_first_heard_from() {
+  let load = |host| {
+    let (service_ms, work) = if host == 15 { (0, 0) } else { (20, 2) };
+    measured(service_ms, work)
+  };
+  let mut balancer = balancer(11..16, 0..0);
+  feed(&mut balancer, 11..15, load);
+  shares(&mut balancer, 1000..1100, load);
+  feed(&mut balancer, 11..16, load);
+  let shares = shares(&mut balancer, 2000..2010, load);
+  let new = shares.get(&15).copied().unwrap_or_default();
+  assert!((1..=4).contains(&new), "{shares:?}");
+}
