Report a very short time as 1 ms

Cause: with overload control, a measured time below 0.5 ms was reported as 0, which stands for unknown.

Change: a measured time is reported as at least 1 ms.

Result: a test with answers after 0.2 ms passes. Without overload control nothing changes.

--- a/src/datagram/agent/work.rs
+++ b/src/datagram/agent/work.rs
@@ -289,7 +289,9 @@
     let overdue = self.overdue(now, slots);
     let missing = overdue.iter().map(|(_, time)| *time);
     let service_ms = if self.overload.enabled {
-      self.pace.time_with_missing(missing).map_or(0.0, to_ms)
+      // A measured time is reported as at least 1 ms, since 0 stands for unknown.
+      let time = self.pace.time_with_missing(missing);
+      time.map_or(0.0, |time| to_ms(time).max(1.0))
     } else {
       self.service_ms
     };
--- a/tests/datagram/uneven/agent.rs
+++ b/tests/datagram/uneven/agent.rs
@@ -164,3 +164,13 @@
   let load = load(&agent);
   assert_eq!((load.service_ms, load.times.iter().count()), (0, 0));
 }
+
+/// Guards against an upstream that answers within half a millisecond and counts as not measured.
+#[test]
+fn a_very_short_time_is_not_reported_as_unknown() {
+  let mut agent = agent();
+  for port in 1..=10 {
+    request(&mut agent, port, 1, Duration::from_micros(200));
+  }
+  assert_eq!(load(&agent).service_ms, 1);
+}
