Add the cost of crossing where it was added before

Cause: the sum of costs was formed in another order than before overload control, which may round otherwise.

Result: the existing tests pass; no test compares the order.

--- a/src/datagram/balancer/cost.rs
+++ b/src/datagram/balancer/cost.rs
@@ -101,7 +101,7 @@
     } else {
       self.crossing_ms(target) * target.crossing.part()
     };
-    Some(self.cost_here(now, target, medians)? + crossing)
+    self.cost_with(now, target, medians, crossing)
   }
 
   /// The cost of a flow for a target's being in another data centre, in milliseconds.
@@ -116,6 +116,17 @@
     now: Instant,
     target: &TargetState,
     medians: Medians,
+  ) -> Option<f64> {
+    self.cost_with(now, target, medians, 0.0)
+  }
+
+  /// The cost of a new flow at a target, with this cost of crossing to its data centre.
+  fn cost_with(
+    &self,
+    now: Instant,
+    target: &TargetState,
+    medians: Medians,
+    crossing: f64,
   ) -> Option<f64> {
     if target.presence == Presence::Leaving || self.evacuations.is_closed(now, &target.data_centre)
     {
@@ -139,6 +150,7 @@
       cost += FAST_FAILING_COST_MS;
     }
     cost += failure_cost_ms(target, medians);
+    cost += crossing;
     let work = f64::from(target.load.work) + f64::from(target.pending);
     Some(cost + medians.wait_ms(target) + UTILISATION_COST_MS * work / f64::from(target.slots))
   }
