--- a/tests/datagram/uneven/agent.rs
+++ b/tests/datagram/uneven/agent.rs
@@ -9,7 +9,7 @@
   fallwell::{
     config::Presence,
     counter::Counter,
-    datagram::{Load, Machine, Settings, Upstream, agent, frame::Handling, uneven::Kind},
+    datagram::{Load, Machine, Settings, Tuning, Upstream, agent, frame::Handling, uneven::Kind},
   },
   std::{
     net::SocketAddrV4,
@@ -20,6 +20,11 @@
 
 /// An agent of service `a` with overload control, whose upstream has 4 slots and two routes.
 fn agent() -> Agent {
+  agent_with(&tuning())
+}
+
+/// The same with a given tuning.
+fn agent_with(tuning: &Tuning) -> Agent {
   let now = Instant::now();
   let settings = Settings {
     first_start: true,
@@ -31,7 +36,7 @@
     service: "a".parse().expect("a name"),
   };
   let counter = Arc::new(Counter::default());
-  let machine = agent::Machine::new(now, &settings, of, tuning(), Plain, 1, counter);
+  let machine = agent::Machine::new(now, &settings, of, *tuning, Plain, 1, counter);
   let mut agent = Harness::new(machine, now);
   let records = [
     configured(1, 1, &[(1, "a"), (2, "a")]),
@@ -174,3 +179,18 @@
   }
   assert_eq!(load(&agent).service_ms, 1);
 }
+
+/// Guards against measurements of overload control that a deployment without it would report.
+#[test]
+fn nothing_new_is_reported_without_overload_control() {
+  let mut agent = agent_with(&Tuning::default());
+  for port in 1..=40 {
+    request(&mut agent, port, 1, ms(20));
+  }
+  for port in 41..=60 {
+    request(&mut agent, port, 1, ms(80));
+  }
+  let load = load(&agent);
+  assert_eq!((load.answers, load.times.iter().count()), (0, 0));
+  assert!(load.service_ms > 20, "{load:?}");
+}
