Reword comments on uneven targets

Cause: some comments and a heading were unclear or lacked the reason of a constant.

Change: wording only.

--- a/src/datagram/balancer/comparison.rs
+++ b/src/datagram/balancer/comparison.rs
@@ -23,7 +23,7 @@
 /// targets takes 27 µs, so that they cost a thin balancer (0.1 of a core) a seventieth of its time.
 const INTERVAL: Duration = Duration::from_millis(20);
 
-/// A load counts for so long after the agent was last heard.
+/// Loads older than this do not count: agents drop their own measurements after the same time.
 const LOAD_TTL: Duration = Duration::from_secs(3);
 
 /// The seed of the hash by which flows are drawn for relieved targets, so that the draw does not
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -32,7 +32,7 @@
   pub removed: Option<Instant>,
   pub(super) last_heard: Option<Instant>,
   incarnation: Option<u32>,
-  /// Whether its data centre gets new flows of this one.
+  /// Whether this data centre sends new flows to that of the target.
   pub(super) crossing: Crossing,
   pub(super) load: Load,
   /// When a flow last failed to open there: it timed out, or the upstream was down, full or of
--- a/src/datagram/uneven/crossing.rs
+++ b/src/datagram/uneven/crossing.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-/// The part of the crossing cost below which flows are kept: a flow that is sent away makes the
-/// wait here shorter and the wait there longer, so that a single limit would alternate.
+/// The part of the crossing cost below which flows are kept. Sending a flow shortens the wait here
+/// and lengthens that there, so a single limit would alternate.
 const STOP_PART: f64 = 0.5;
 
 /// Whether a data centre sends new flows of a service to another one.
--- a/src/datagram/uneven/kinds.rs
+++ b/src/datagram/uneven/kinds.rs
@@ -4,11 +4,11 @@
   std::time::{Duration, Instant},
 };
 
-/// The most kinds of work that are measured; services have few routes.
+/// The maximum number of kinds of work that are measured: services have few routes.
 const MEASURED_MAX: usize = 8;
 
-/// The mean number of requests in a flow covers so many flows, as that of service times covers so
-/// many answers.
+/// The number of flows that the mean number of requests in a flow covers: as many as the answers that
+/// a service time covers.
 const FLOWS: f64 = 20.0;
 
 /// The measurements of a kind of work.
--- a/src/datagram/uneven/relief.rs
+++ b/src/datagram/uneven/relief.rs
@@ -132,6 +132,7 @@
     } else {
       answered
     };
+    // 16 doublings exceed any count of 16 bits.
     let allowed = f64::from(allowed) * f64::from(doublings.min(16)).exp2();
     let share = f64::from(sample.slots) * per_slot.max(1.0);
     (allowed < share).then_some(Self::Trial {
