--- a/src/datagram/uneven/relief.rs
+++ b/src/datagram/uneven/relief.rs
@@ -70,6 +70,11 @@
     }
   }
 
+  /// Removes a target whose upstream has started again.
+  pub fn remove(&mut self, target: K) {
+    self.states.remove(&target);
+  }
+
   /// Whether no target is relieved or tried again.
   pub fn is_empty(&self) -> bool {
     self.states.is_empty()
@@ -118,13 +123,16 @@
         answers: sample.answers,
       });
     };
-    let answered = sample.answers.wrapping_sub(answers);
-    // A count that has decreased is that of another incarnation.
-    let doublings = if answered.cast_signed() < 0 {
+    // A count that has decreased is that of a restarted agent, or has wrapped around: it proves no
+    // answer.
+    let answered = sample.answers.saturating_sub(answers);
+    // With more requests than are allowed, answers may be those of requests from before the trial.
+    let doublings = if sample.in_flight > allowed {
       0
     } else {
       answered
     };
+    // 16 doublings exceed any count of 16 bits.
     let allowed = f64::from(allowed) * f64::from(doublings.min(16)).exp2();
     let share = f64::from(sample.slots) * per_slot.max(1.0);
     (allowed < share).then_some(Self::Trial {
--- a/tests/datagram/uneven/relief.rs
+++ b/tests/datagram/uneven/relief.rs
@@ -106,13 +106,34 @@
 /// Guards against a restarted agent's count of answers, which begins anew, as proof of answers.
 #[test]
 fn a_count_that_begins_anew_proves_no_answer() {
+  for before in [40, 40_000] {
+    let mut relief = Relief::default();
+    let mut all = samples(&[1.0, 1.0, 5.0]);
+    all[2].1.answers = before;
+    relief.update(&all);
+    all[2].1.ratio = None;
+    relief.update(&all);
+    all[2].1.answers = 0;
+    relief.update(&all);
+    assert!(relief.permits(2, 0) && !relief.permits(2, 1), "{before}");
+  }
+}
+
+/// Guards against answers of requests from before a trial as proof that the target has recovered.
+#[test]
+fn answers_of_earlier_requests_prove_nothing() {
   let mut relief = Relief::default();
   let mut all = samples(&[1.0, 1.0, 5.0]);
-  all[2].1.answers = 40;
   relief.update(&all);
-  all[2].1.ratio = None;
+  all[2].1 = Sample {
+    in_flight: 8,
+    ratio: None,
+    ..all[2].1
+  };
+  relief.update(&all);
+  all[2].1.answers = 7;
   relief.update(&all);
-  all[2].1.answers = 0;
+  all[2].1.in_flight = 1;
   relief.update(&all);
   assert!(relief.permits(2, 0) && !relief.permits(2, 1));
 }
