--- a/tests/datagram/random_run.rs
+++ b/tests/datagram/random_run.rs
@@ -290,6 +290,14 @@
   }
 }
 
+/// Guards against a promise that overload control breaks while flows wait, are granted or rejected.
+#[test]
+fn guarantees_hold_under_faults_with_overload_control() {
+  for seed in REGRESSIONS.into_iter().chain(GUARD_SEEDS).chain(0..96) {
+    simulate_in(started(World::with_overload_control(seed)), seed);
+  }
+}
+
 #[test]
 fn guarantees_hold_under_faults_from_the_first_start() {
   for seed in 0..96 {
@@ -443,6 +451,7 @@
     let seed = seed.unwrap_or_else(rand::random);
     println!("seed {seed}");
     simulate(seed);
+    simulate_in(started(World::with_overload_control(seed)), seed);
     simulate_in(from_first_start(seed), seed);
     simulate_power(seed);
     simulate_data_centres(seed);
--- a/tests/datagram/world.rs
+++ b/tests/datagram/world.rs
@@ -12,8 +12,8 @@
     config::Presence,
     counter::Counter,
     datagram::{
-      Codec, Event, Flow, Machine, Origin, Outbox, Record, Settings, Tuning, Update, Upstream, Via,
-      agent, balancer, target,
+      Codec, Event, Flow, Machine, Origin, Outbox, Overload, Record, Settings, Tuning, Update,
+      Upstream, Via, agent, balancer, target,
     },
   },
   rand::{RngExt, SeedableRng, rngs::SmallRng},
@@ -119,6 +119,7 @@
   last_item: u64,
   nodes: BTreeMap<u8, Node>,
   now: u64,
+  overload: Overload,
   out: Outbox,
   port: u16,
   queue: BinaryHeap<Reverse<(u64, u64)>>,
@@ -150,12 +151,24 @@
     Self::with_balancers(seed, false, 0)
   }
 
+  /// A simulation in which all processes have overload control enabled.
+  pub fn with_overload_control(seed: u64) -> Self {
+    let mut world = Self::empty(seed, false, 0);
+    world.overload.enabled = true;
+    world.start_balancers();
+    world
+  }
+
   fn with_balancers(seed: u64, first_start: bool, shutdown_ms: u64) -> Self {
     let mut world = Self::empty(seed, first_start, shutdown_ms);
+    world.start_balancers();
+    world
+  }
+
+  fn start_balancers(&mut self) {
     for host in 1..=3 {
-      world.start_balancer(host);
+      self.start_balancer(host);
     }
-    world
   }
 
   fn empty(seed: u64, first_start: bool, shutdown_ms: u64) -> Self {
@@ -173,6 +186,7 @@
       last_item: 0,
       nodes: BTreeMap::new(),
       now: 0,
+      overload: Overload::default(),
       out: Outbox::default(),
       port: 1024,
       queue: BinaryHeap::new(),
@@ -197,6 +211,13 @@
     Self::with_balancers(seed, true, SHUTDOWN_MS)
   }
 
+  fn tuning(&self) -> Tuning {
+    Tuning {
+      overload: self.overload,
+      ..Tuning::default()
+    }
+  }
+
   /// Starts a balancer without any state.
   pub fn start_balancer(&mut self, host: u8) {
     self.note_fault();
@@ -209,7 +230,7 @@
       ..settings(host)
     };
     let counter = Arc::new(Counter::default());
-    let (now, tuning) = (self.instant(), Tuning::default());
+    let (now, tuning) = (self.instant(), self.tuning());
     let machine = balancer::Machine::new(now, &settings, tuning, Plain, self.starts, counter);
     self.nodes.insert(host, Node::Balancer(Box::new(machine)));
     self.schedule(0, Item::Tick(host));
@@ -234,7 +255,7 @@
       service: self.upstreams[&host].service.parse().expect("a name"),
     };
     let counter = Arc::new(Counter::default());
-    let (now, tuning) = (self.instant(), Tuning::default());
+    let (now, tuning) = (self.instant(), self.tuning());
     let machine = agent::Machine::new(
       now,
       &settings,
