Log why a rejected flow is not reset

Cause: `balancer: flow is given up. ... reset=false` does not say which of the two reasons held the reset back.

Change: the line also has how many agents were tried, whether the flow may be open, and whether a retransmission may have gone to another balancer.

--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -114,7 +114,8 @@
     let is_reset = !opening.may_be_open && !may_be_missing;
     log::info!(
       flow:% = flow, age:? = age, attempt = opening.attempt, reset = is_reset,
-      reason:% = reason;
+      reason:% = reason, tried = opening.tried.len(), may_be_open = opening.may_be_open,
+      may_be_missing = may_be_missing;
       "balancer: flow is given up."
     );
     self.flows.remove(flow);
