Refuse new flows at an upstream that the first target list does not have

Callers: an agent whose upstream left the target list before the agent had received any list never learnt that it was leaving, and went on opening flows for as long as balancers sent them.

Cause: `apply_change` returned early when the list had no entry of the upstream, present or removed, so that `leaving` stayed false.

Change: an agent that knows a list without its upstream is leaving. It opens a flow nevertheless if the balancer knows a later list, from which it may know the upstream.

Measured: agent::an_upstream_that_was_never_listed_gets_no_opening_packet fails before and passes now.

--- a/src/datagram/agent/admission.rs
+++ b/src/datagram/agent/admission.rs
@@ -6,9 +6,12 @@
     flow_entry::FlowState,
     machine::{CallerPacket, Machine},
   },
-  crate::datagram::{
-    Codec, Flow, Warmup,
-    frame::{Handling, Refusal},
+  crate::{
+    Revision,
+    datagram::{
+      Codec, Flow, Warmup,
+      frame::{Handling, Refusal},
+    },
   },
   std::time::Instant,
 };
@@ -22,7 +25,7 @@
   /// that is reserved for the balancer, if there is one.
   pub(super) fn refusal(&mut self, now: Instant, packet: &CallerPacket) -> Option<Refusal> {
     let flow = &packet.head.flow;
-    if self.leaving {
+    if self.leaving && !self.is_newly_listed(packet.synced) {
       return Some(Refusal::Leaving);
     }
     if self.is_closed(now) {
@@ -50,6 +53,12 @@
     (!granted && is_busy).then_some(Refusal::Busy)
   }
 
+  /// Whether a balancer that knows the target list up to `synced` may know the upstream from an entry
+  /// that this agent has not received yet.
+  fn is_newly_listed(&self, synced: Revision) -> bool {
+    !self.stopping && !self.is_listed() && synced > self.gossip.catalog().synced()
+  }
+
   /// The priority of a flow's route; the lowest where it has none.
   fn priority(&self, flow: &Flow) -> u8 {
     let route = self.gossip.catalog().route(&flow.route);
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -256,19 +256,19 @@
       return;
     }
     self.update_admission(now);
-    let Some((id, entry)) = self.gossip.catalog().at(self.upstream.address) else {
+    let leaving = self.is_leaving();
+    if leaving != self.leaving {
+      log::info!(
+        target:% = self.upstream.address, leaving = leaving, listed = self.is_listed();
+        "agent: upstream started or stopped draining."
+      );
+      self.leaving = leaving;
+    }
+    let Some((_, entry)) = self.gossip.catalog().at(self.upstream.address) else {
       return;
     };
     self.slots = Some(entry.target.slots.max(1));
     let start_time = entry.target.start_time;
-    let leaving = entry.target.presence == Presence::Leaving
-      || entry.removed.is_some()
-      || entry.target.service != self.upstream.service;
-    let leaving = leaving || self.stopping;
-    if leaving != self.leaving {
-      log::info!(target:% = id, leaving = leaving; "agent: upstream started or stopped draining.");
-      self.leaving = leaving;
-    }
     let previous = self.start_time;
     self.start_time = start_time.max(previous);
     if previous.is_some() && self.start_time > previous {
@@ -276,6 +276,25 @@
     }
   }
 
+  /// Whether the target list has an entry of the upstream, present or removed.
+  pub(super) fn is_listed(&self) -> bool {
+    self.gossip.catalog().at(self.upstream.address).is_some()
+  }
+
+  /// Whether the upstream takes no new flows: the process is shutting down, or the target list says
+  /// that the upstream is draining or doesn't list it. A target that was removed before its agent
+  /// received the first list has no entry there.
+  fn is_leaving(&self) -> bool {
+    let catalog = self.gossip.catalog();
+    let Some((_, entry)) = catalog.at(self.upstream.address) else {
+      return self.stopping || catalog.synced() > Revision::default();
+    };
+    self.stopping
+      || entry.target.presence == Presence::Leaving
+      || entry.removed.is_some()
+      || entry.target.service != self.upstream.service
+  }
+
   /// The load that is reported to balancers.
   pub(super) fn load(&self, now: Instant) -> Load {
     Load {
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -139,6 +139,31 @@
   );
 }
 
+/// Guards against new flows at an upstream that was removed from the target list before its agent
+/// received the list.
+#[test]
+fn an_upstream_that_was_never_listed_gets_no_opening_packet() {
+  let mut agent = Harness::agent(9, "a", true);
+  agent.platform(update(None, 3, &[configured(1, 1, &[(1, "a")])]));
+  assert_eq!(agent.machine.dump(agent.now)["leaving"], true);
+  let packet = Packet::open(flow(40_002, 1), 0);
+  let sent = deliver(&mut agent, Handling::Open, packet.clone());
+  assert_matches!(
+    &sent[..],
+    [Sent::Frame(_, Frame::Refused(_, Refusal::Leaving, _), _)]
+  );
+  // A balancer with a later list may know the upstream from there.
+  let mut later = carry(Handling::Open, "a", 1);
+  if let Frame::Carry { synced, .. } = &mut later {
+    *synced = Revision(4);
+  }
+  let sent = agent.frame(BALANCER, &later, &packet.write());
+  assert_eq!(sent, [Sent::Upstream(packet)]);
+  let record = listed(4, "up", 9, "a", Presence::Live);
+  agent.platform(update(Some(3), 4, &[record]));
+  assert_eq!(agent.machine.dump(agent.now)["leaving"], false);
+}
+
 #[test]
 fn an_opening_packet_for_a_route_without_the_service_is_dropped() {
   let (mut agent, _) = with_flow(true);
