Reset new flows at once when no target of their service takes them

Callers: a new flow to a service that had just lost its only target got neither an answer nor a reset. Of 20 plays of item::a_target_whose_entry_becomes_unreadable_gets_no_new_flow 7 ended after 30 s of opening packets without a word; the others were reset after 1.38 s, 20 ms before a caller gives up by itself.

Cause, from the logs of play 3: a target that has left the list is still used for 2 s, and its agent refuses as Leaving. The balancer does not take that for an answer: it queues the flow, sends it again 5 ms later, and so on, 258 times (`flow is placed ... tried=258`). A retransmission that arrives in the fraction of a millisecond between sending and refusal marks the flow as possibly open, for good; `flow is given up ... attempt=6 reset=false reason=expired` ends all failed plays and `reset=true` the others. The next retransmissions count as flows that another balancer may have opened, and after the 2 s each is dropped with `no target of the service accepts new flows`.

Change: a removed target whose agent refuses as Leaving takes no flow any more. If no target of a service accepts new flows and the platform has confirmed the list, new and queued flows are reset at once, or placed at another service of their route; otherwise they wait. Which agents may have opened a flow is kept by agent, and a refusal as Leaving clears it: a leaving agent no longer refuses a flow that it has opened. A rejected flow that cannot be reset, since a retransmission may have gone elsewhere, is reset when the next one comes here. Queued flows are sent to a target that refuses them every 25 ms at most.

--- a/src/datagram/agent/admission.rs
+++ b/src/datagram/agent/admission.rs
@@ -25,13 +25,13 @@
   /// that is reserved for the balancer, if there is one.
   pub(super) fn refusal(&mut self, now: Instant, packet: &CallerPacket) -> Option<Refusal> {
     let flow = &packet.head.flow;
-    if self.leaving && !self.is_newly_listed(packet.synced) {
+    let known = self.has_flow(flow);
+    if self.leaving && !known && !self.is_newly_listed(packet.synced) {
       return Some(Refusal::Leaving);
     }
     if self.is_closed(now) {
       return Some(Refusal::Closed);
     }
-    let known = self.has_flow(flow);
     if !known && !self.work.allows(now) {
       return Some(Refusal::Down);
     }
--- a/src/datagram/balancer/cost.rs
+++ b/src/datagram/balancer/cost.rs
@@ -134,7 +134,8 @@
     }
     let mut cost = 0.0;
     if let Some(removed) = target.removed {
-      if now.saturating_duration_since(removed) >= REMOVAL_GRACE {
+      let is_past_grace = now.saturating_duration_since(removed) >= REMOVAL_GRACE;
+      if is_past_grace || target.removal_confirmed {
         return None;
       }
       cost += 4.0 * UNAVAILABLE_MS;
--- a/src/datagram/balancer/ending.rs
+++ b/src/datagram/balancer/ending.rs
@@ -12,8 +12,8 @@
   std::{net::SocketAddrV4, time::Instant},
 };
 
-/// Placeholder for the service of a lost flow.
-const NO_SERVICE: Digest = Digest(0);
+/// Placeholder for the service of a flow that no agent owns.
+pub(super) const NO_SERVICE: Digest = Digest(0);
 
 impl<C: Codec> Machine<C> {
   /// Resets flows that an agent's upstream has lost, except those that are known to be at another
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -218,10 +218,10 @@
     let idle = self.gossip.idle();
     let dead_ttl = self.tuning.dead;
     self.flows.retain(|_, place| {
-      let ttl = if matches!(place.state, State::Dead) {
-        dead_ttl
-      } else {
-        idle
+      let ttl = match place.state {
+        State::Dead => dead_ttl,
+        State::Rejected(_) => C::CONNECT_TIMEOUT,
+        _ => idle,
       };
       now.saturating_duration_since(place.last_packet) < ttl
     });
--- a/src/datagram/balancer/opening.rs
+++ b/src/datagram/balancer/opening.rs
@@ -21,7 +21,8 @@
 impl<C: Codec> Machine<C> {
   /// Handles an opening packet: places a new flow, or sends a retransmission to the target that was
   /// sent the packet before. If that target has timed out or the address was routed to another
-  /// service, the flow is placed again. If the flow is queued, it stays in the queue.
+  /// service, the flow is placed again, as is one that was rejected. If the flow is queued, it stays
+  /// in the queue.
   pub(super) fn open(
     &mut self,
     now: Instant,
@@ -30,7 +31,8 @@
     out: &mut Outbox,
   ) -> Result<(), Code> {
     let mut opening = Opening::new::<C>(now, head, packet);
-    opening.may_be_open |= now < self.stale_until;
+    let is_stale = now < self.stale_until;
+    opening.may_be_open_elsewhere |= is_stale;
     self.end_search(&head.flow);
     let route = self.gossip.catalog().route(&head.flow.route);
     let is_routed_to = |service| route.is_some_and(|route| route.backends.takes_digest(service));
@@ -40,7 +42,7 @@
         State::Dead => {}
         State::Open | State::Opening(_) if !is_routed_to(service) => {
           // The address was routed to another service meanwhile.
-          opening.may_be_open = true;
+          opening.may_be_open_elsewhere = true;
         }
         State::Open => {
           // The target's answer to the caller was lost or is still on its way.
@@ -50,14 +52,18 @@
         }
         State::Opening(before) if now < before.deadline => {
           // The target may still answer, or its answer to the caller was lost.
-          before.may_be_open = true;
+          before.record_retransmission(&opening, is_stale);
+          before.record_unanswered(agent);
           let handling = before.handling;
           self.carry(agent, handling, service, packet, out);
           return Ok(());
         }
-        State::Opening(before) => opening.tried = std::mem::take(&mut before.tried),
+        State::Opening(before) | State::Rejected(before) => {
+          before.record_retransmission(&opening, is_stale);
+          opening = before.clone();
+        }
         State::Queued(_, before) => {
-          before.record_retransmission(head.acknowledges, opening.packet);
+          before.record_retransmission(&opening, is_stale);
           return Ok(());
         }
       }
@@ -70,7 +76,7 @@
 
   /// The service of a new flow: drawn by the weights of its address, among the services that have a
   /// target which accepts new flows. A service whose targets are merely busy keeps its share.
-  fn destination(&self, now: Instant, flow: &Flow) -> Option<Service> {
+  pub(super) fn destination(&self, now: Instant, flow: &Flow) -> Option<Service> {
     let route = self.gossip.catalog().route(&flow.route)?;
     let ranked = route.backends.ranked(flow);
     let first = *ranked.first()?;
@@ -119,10 +125,7 @@
         flow:% = flow, service:% = service;
         "balancer: no target of the service accepts new flows."
       );
-      if self.targets.all_closed(now, service) {
-        self.give_up(now, &flow, &opening, Reason::Closed, out);
-      }
-      return Err(Code::PacketUnroutable);
+      return self.queue_or_reject(now, flow, service, opening, None, out);
     };
     // While flows are queued, known loads are out of date, and targets would refuse a new flow (up to
     // 110 of 225 in 0.2 s): it joins the queue.
@@ -229,22 +232,28 @@
   /// and so certainly did not open the flow; the packet is then queued if no target is left.
   pub(super) fn place_next(&mut self, now: Instant, flow: Flow, refused: bool, out: &mut Outbox) {
     let Some(Place {
+      agent,
       state: State::Opening(opening),
       ..
-    }) = self.flows.get(&flow)
+    }) = self.flows.get_mut(&flow)
     else {
       return;
     };
+    if !refused {
+      opening.record_unanswered(*agent);
+    }
+    let opening = opening.clone();
     let Some(service) = self.destination(now, &flow) else {
+      if refused {
+        self.give_up(now, &flow, &opening, Reason::RouteRemoved, out);
+      }
       return;
     };
-    let mut opening = opening.clone();
     self.retract_placement(&flow);
-    opening.may_be_open |= !refused;
     let next = self.choose(now, &flow, &service, &opening.tried);
     if opening.tried.len() >= TARGETS_MAX || next.is_none() {
       // If targets do not answer, the caller's next retransmission is placed anew.
-      if refused && let Err(code) = self.enqueue(now, flow, &service, opening, next, out) {
+      if refused && let Err(code) = self.queue_or_reject(now, flow, &service, opening, next, out) {
         self.counter.count(code);
       }
       return;
@@ -269,8 +278,8 @@
     let Some(place) = self.flows.get_mut(&flow) else {
       return;
     };
-    if let State::Queued(..) = place.state {
-      // The target was sent the packet before the flow was queued.
+    if let State::Queued(..) | State::Rejected(_) = place.state {
+      // The target was sent the packet before the flow was queued or rejected.
       place.agent = from;
       place.service = service.unwrap_or(place.service);
       place.state = State::Open;
@@ -312,10 +321,10 @@
     );
     self.targets.record_load(now, from, load);
     self.record_answer(from);
-    match refusal {
-      Refusal::Busy | Refusal::Cold | Refusal::Leaving => {}
-      Refusal::Closed => self.targets.record_closed(now, from),
-      Refusal::Down | Refusal::Full | Refusal::Service => self.targets.record_failure(now, from),
+    self.targets.record_refusal(now, from, refusal);
+    if refusal == Refusal::Leaving {
+      // An agent that is leaving does not refuse a flow that it has opened.
+      self.record_denial(&flow, from);
     }
     let place = self.flows.get(&flow);
     if place.is_some_and(|place| place.agent == from && matches!(place.state, State::Opening(_))) {
@@ -323,6 +332,14 @@
     }
   }
 
+  /// Records that an agent has not opened a flow, whatever it was sent.
+  fn record_denial(&mut self, flow: &Flow, agent: SocketAddrV4) {
+    let place = self.flows.get_mut(flow);
+    if let Some(opening) = place.and_then(|place| place.state.opening_mut()) {
+      opening.record_denial(agent);
+    }
+  }
+
   /// Sends an opening packet to the next target, unless it was answered or sent to another target
   /// meanwhile.
   pub(super) fn time_out_opening(
--- a/src/datagram/balancer/packets.rs
+++ b/src/datagram/balancer/packets.rs
@@ -12,7 +12,8 @@
   },
 };
 
-/// How recent the platform's last confirmation must be for an unknown route to count as removed.
+/// How recent the platform's last confirmation must be for an unknown route to count as removed, and
+/// for a service without targets to have none.
 const CONFIRMATION_AGE_MAX: Duration = Duration::from_millis(2500);
 
 impl<C: Codec> Machine<C> {
@@ -48,7 +49,7 @@
       Some(place) if matches!(place.state, State::Dead) => {
         self.reset(&head.flow, head.acknowledges, out);
       }
-      Some(place) if matches!(place.state, State::Queued(..)) => {
+      Some(place) if matches!(place.state, State::Queued(..) | State::Rejected(_)) => {
         // The flow was opened by another balancer.
         self.dequeue(&head.flow);
         self.flows.remove(&head.flow);
@@ -90,8 +91,7 @@
     out: &mut Outbox,
   ) -> Result<(), Code> {
     let age = self.gossip.confirmed(now);
-    let is_fresh = age.is_some_and(|age| age < CONFIRMATION_AGE_MAX);
-    if self.gossip.catalog().configuration().is_none() || !is_fresh {
+    if self.gossip.catalog().configuration().is_none() || !self.is_confirmed(now) {
       return Err(Code::NotReady);
     }
     if head.opens && head.acknowledges == 0 {
@@ -104,6 +104,12 @@
     Err(Code::PacketUnroutable)
   }
 
+  /// Whether the platform has confirmed recently that the catalog is complete.
+  pub(super) fn is_confirmed(&self, now: Instant) -> bool {
+    let age = self.gossip.confirmed(now);
+    age.is_some_and(|age| age < CONFIRMATION_AGE_MAX)
+  }
+
   /// Resets a flow whose caller last acknowledged `acknowledges`.
   pub(super) fn reset(&self, flow: &Flow, acknowledges: u32, out: &mut Outbox) {
     let to = SocketAddrV4::new(*flow.caller.ip(), self.port);
--- a/src/datagram/balancer/reason.rs
+++ b/src/datagram/balancer/reason.rs
@@ -13,6 +13,8 @@
   Full,
   /// It is too late for its objective, and the queue holds as many late flows as will be placed.
   Late,
+  /// Its service has no target that accepts new flows.
+  NoTarget,
   /// The queue holds as many flows as can be answered within their objective.
   OnTime,
   /// Its route was removed.
@@ -29,6 +31,7 @@
       Self::Expired => "expired",
       Self::Full => "queue is full",
       Self::Late => "late limit",
+      Self::NoTarget => "no target accepts flows",
       Self::OnTime => "on-time limit",
       Self::RouteRemoved => "route was removed",
       Self::Unroutable => "no service accepts flows",
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -4,7 +4,7 @@
     config::Presence,
     datagram::{
       Agents, Catalog, Entry, Flow, Load, Service, Tuning, Warmup,
-      frame::{Status, Tombstone},
+      frame::{Refusal, Status, Tombstone},
       target::StartTime,
       uneven::Crossing,
     },
@@ -21,6 +21,10 @@
 /// the platform may have dropped it although it runs, and lists it again within two seconds.
 pub(super) const REMOVAL_GRACE: Duration = Duration::from_secs(2);
 
+/// How long queued flows are not sent to a target that has refused one: several tries fit in the
+/// time after which a caller retransmits.
+const REFUSAL_INTERVAL: Duration = Duration::from_millis(25);
+
 /// What a balancer knows of a target.
 #[derive(Clone, Debug)]
 pub struct TargetState {
@@ -41,6 +45,10 @@
   /// The number of opening packets sent there that its reported load does not include yet.
   pub(super) pending: u16,
   pub(super) presence: Presence,
+  /// When its agent last refused a new flow for another reason than its load.
+  pub(super) refused: Option<Instant>,
+  /// Whether its agent, too, knows that it was removed.
+  pub(super) removal_confirmed: bool,
   pub(super) service: Service,
   pub(super) slots: u16,
   /// How many times as long as the median of its service it takes, by kinds of work; none if
@@ -64,6 +72,8 @@
       open_failed: None,
       pending: 0,
       presence: entry.target.presence,
+      refused: None,
+      removal_confirmed: false,
       service: entry.target.service.clone(),
       slots: 1,
       speed: None,
@@ -92,6 +102,9 @@
     self.start_time = entry.target.start_time.max(self.start_time);
     self.data_centre.clone_from(&entry.target.data_centre);
     self.removed = entry.removed;
+    if self.removed.is_none() {
+      self.removal_confirmed = false;
+    }
     self.presence = entry.target.presence;
     self.service = entry.target.service.clone();
     self.slots = entry.target.slots.max(1);
@@ -299,8 +312,28 @@
     }
   }
 
+  /// Records why an agent refused a new flow.
+  pub fn record_refusal(&mut self, now: Instant, agent: SocketAddrV4, refusal: Refusal) {
+    match refusal {
+      Refusal::Busy | Refusal::Cold => return,
+      Refusal::Closed => return self.record_closed(now, agent),
+      Refusal::Down | Refusal::Full | Refusal::Service => self.record_failure(now, agent),
+      Refusal::Leaving => {}
+    }
+    if let Some(target) = self.by_agent.get_mut(&agent) {
+      target.refused = Some(now);
+      target.removal_confirmed |= refusal == Refusal::Leaving && target.removed.is_some();
+    }
+  }
+
+  /// Whether an agent has just refused a new flow for another reason than its load.
+  pub fn is_refusing(&self, now: Instant, agent: SocketAddrV4) -> bool {
+    let refused = self.by_agent.get(&agent).and_then(|target| target.refused);
+    refused.is_some_and(|refused| now.saturating_duration_since(refused) < REFUSAL_INTERVAL)
+  }
+
   /// Records that an agent refuses new flows because its data centre is closed.
-  pub fn record_closed(&mut self, now: Instant, agent: SocketAddrV4) {
+  fn record_closed(&mut self, now: Instant, agent: SocketAddrV4) {
     if let Some(target) = self.by_agent.get(&agent) {
       self.evacuations.record_refusal(now, &target.data_centre);
     }
@@ -382,6 +415,7 @@
         "load": target.load,
         "pending": target.pending,
         "presence": target.presence,
+        "refused_ms": target.refused.map(age),
         "service": target.service,
         "speed": target.speed,
         "stopping": target.stopping,
--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -3,6 +3,7 @@
 use {
   super::{
     choosing::Choice,
+    ending::NO_SERVICE,
     machine::Machine,
     outcome::{self, Outcome},
     place::{Opening, Place, State, Tried},
@@ -70,11 +71,39 @@
     Ok(())
   }
 
+  /// Queues an opening packet that no target takes now, or rejects it if it is known that none will.
+  pub(super) fn queue_or_reject(
+    &mut self,
+    now: Instant,
+    flow: Flow,
+    service: &Service,
+    opening: Opening,
+    choice: Option<Choice>,
+    out: &mut Outbox,
+  ) -> Result<(), Code> {
+    if let Some(reason) = self.unservable(now, service) {
+      self.give_up(now, &flow, &opening, reason, out);
+      return Err(Code::PacketUnroutable);
+    }
+    self.enqueue(now, flow, service, opening, choice, out)
+  }
+
+  /// Why no target of a service can take new flows; none if one may.
+  fn unservable(&self, now: Instant, service: &Service) -> Option<Reason> {
+    if self.targets.all_closed(now, service) {
+      return Some(Reason::Closed);
+    }
+    // A target that is not known yet may take them.
+    let is_known = self.is_confirmed(now);
+    (is_known && !self.targets.accepts(now, service)).then_some(Reason::NoTarget)
+  }
+
   /// Decides whether a flow may be queued.
   fn admit(&mut self, now: Instant, class: &FlowClass, queued: Queued) -> Verdict {
     let service = &class.service;
     if !self.tuning.overload.enabled {
-      let is_full = self.queue.len(service) as f64 >= self.queue_capacity(now, service);
+      let capacity = self.queue_capacity(now, service);
+      let is_full = capacity.is_some_and(|capacity| self.queue.len(service) as f64 >= capacity);
       return if is_full {
         Verdict::Rejected(Reason::Full)
       } else {
@@ -90,11 +119,12 @@
   }
 
   /// How many flows of a service may be queued: as many as its targets can answer before callers
-  /// give up. Balancers don't divide this among themselves, since they may get very different
-  /// shares of the callers: with equal shares, 123 of 155 failed requests were of the callers of a data
-  /// centre with one of five balancers.
-  fn queue_capacity(&self, now: Instant, service: &Service) -> f64 {
-    self.targets.rate(now, service) * C::CONNECT_TIMEOUT.as_secs_f64()
+  /// give up; none if no target is known. Balancers don't divide this among themselves, since they may
+  /// get very different shares of the callers: with equal shares, 123 of 155 failed requests were of
+  /// the callers of a data centre with one of five balancers.
+  fn queue_capacity(&self, now: Instant, service: &Service) -> Option<f64> {
+    let capacity = self.targets.rate(now, service) * C::CONNECT_TIMEOUT.as_secs_f64();
+    (capacity > 0.0).then_some(capacity)
   }
 
   /// Removes a flow that no target has opened, as far as this balancer knows. It is reset unless it
@@ -109,18 +139,25 @@
     out: &mut Outbox,
   ) {
     let age = now.saturating_duration_since(opening.received);
-    // The packet may have taken up to half of the interval to get here.
-    let may_be_missing = opening.attempt + 1 < C::OPEN_ATTEMPTS && age >= C::INITIAL_RTO / 2;
-    let is_reset = !opening.may_be_open && !may_be_missing;
+    let (may_be_open, may_be_missing) = (opening.may_be_open(), opening.may_have_missed::<C>(now));
+    let is_reset = !may_be_open && !may_be_missing;
     log::info!(
       flow:% = flow, age:? = age, attempt = opening.attempt, reset = is_reset,
-      reason:% = reason, tried = opening.tried.len(), may_be_open = opening.may_be_open,
+      reason:% = reason, tried = opening.tried.len(), may_be_open = may_be_open,
       may_be_missing = may_be_missing;
       "balancer: flow is given up."
     );
     self.flows.remove(flow);
     if is_reset {
       self.reset(flow, 0, out);
+    } else if !may_be_open {
+      let place = Place {
+        agent: self.gossip.address(),
+        last_packet: now,
+        service: NO_SERVICE,
+        state: State::Rejected(opening.clone()),
+      };
+      self.flows.insert(*flow, place);
     }
   }
 
@@ -144,6 +181,9 @@
   fn next_queued(&self, now: Instant, class: &FlowClass) -> Option<(Queued, Choice)> {
     let (_, newest) = self.queue.newest(class)?;
     let choice = self.choose(now, &newest, &class.service, &Tried::new())?;
+    if self.targets.is_refusing(now, choice.agent) {
+      return None;
+    }
     let queued = self.most_urgent(now, class, &choice)?;
     let (first, flow) = queued;
     let waited_ms = now.saturating_duration_since(first).as_secs_f64() * 1000.0;
@@ -244,13 +284,14 @@
   }
 
   /// Gives up flows whose callers would give up before an answer reached them, all flows of a service
-  /// whose data centres are all closed, and flows that are known not to be served.
+  /// that no target serves, and flows that are known not to be served.
   pub(super) fn expire_queued(&mut self, now: Instant, class: &FlowClass, out: &mut Outbox) {
-    let (ttl, reason) = if self.targets.all_closed(now, &class.service) {
-      (Duration::ZERO, Reason::Closed)
-    } else {
-      let ttl = C::CONNECT_TIMEOUT.saturating_sub(ANSWER_LATENCY_MAX);
-      (ttl, Reason::Expired)
+    let (ttl, reason) = match self.unservable(now, &class.service) {
+      Some(reason) => (Duration::ZERO, reason),
+      None => {
+        let ttl = C::CONNECT_TIMEOUT.saturating_sub(ANSWER_LATENCY_MAX);
+        (ttl, Reason::Expired)
+      }
     };
     while let Some(queued) = self.queue.oldest(class) {
       let (first, _) = queued;
@@ -262,6 +303,9 @@
         self.shedding.expire(now, class, queued);
       } else {
         self.shedding.remove(class, queued);
+        if self.place_at_other_service(now, class, queued, out) {
+          continue;
+        }
       }
       self.reject_queued(now, class, queued, reason, out);
     }
@@ -271,6 +315,28 @@
     }
   }
 
+  /// Places a flow that was removed from the queue at another service of its route; false if none has
+  /// a target that accepts new flows.
+  fn place_at_other_service(
+    &mut self,
+    now: Instant,
+    class: &FlowClass,
+    (_, flow): Queued,
+    out: &mut Outbox,
+  ) -> bool {
+    let Some(opening) = self.queued_opening(&flow).cloned() else {
+      return false;
+    };
+    let other = self.destination(now, &flow);
+    if other.is_none_or(|other| other == class.service || !self.targets.accepts(now, &other)) {
+      return false;
+    }
+    if let Err(code) = self.place(now, flow, opening, out) {
+      self.counter.count(code);
+    }
+    true
+  }
+
   /// Gives up a flow that was removed from the queue.
   fn reject_queued(
     &mut self,
@@ -289,7 +355,11 @@
       _ => Outcome::Rejected,
     };
     outcome.count(&self.counter, class);
-    self.counter.count(Code::QueueFull);
+    let code = match reason {
+      Reason::Closed | Reason::NoTarget => Code::PacketUnroutable,
+      _ => Code::QueueFull,
+    };
+    self.counter.count(code);
     self.give_up(now, &flow, &opening, reason, out);
   }
 }
--- a/tests/datagram/main.rs
+++ b/tests/datagram/main.rs
@@ -30,6 +30,7 @@
 mod shedding;
 mod support;
 mod uneven;
+mod unserved;
 mod upstream_restarted;
 mod waiting;
 mod weights;
