Log which agent opens a flow and whose flow could not be established

Cause: the guesses about feeds_survive_and_open_during_a_network_partition (two agents open one connection; answers or packets are lost in the partition) could not be told apart: agents logged neither the key nor the caller.

Change: a line at debug level when an agent opens a flow, with the flow's key, caller and balancer, so that two agents that open the same one show; the lines about flows that failed or were closed name the caller.

--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -100,10 +100,11 @@
 
 /// Serves a caller's flow until the caller closes it, or all requests have ended after GOAWAY.
 async fn serve_connection(shared: Arc<Shared>, incoming: Incoming) {
+  let caller = incoming.remote_address();
   let connection = match incoming.await {
     Ok(connection) => connection,
     Err(error) => {
-      log::debug!("agent: cannot establish a flow: {error}.");
+      log::debug!("agent: cannot establish a flow of {caller}: {error}.");
       return shared.counter.add("flows.failed", 1);
     }
   };
@@ -127,7 +128,7 @@
         }
         Ok(None) => break,
         Err(error) => {
-          log::debug!("agent: flow was closed, its requests are aborted: {error}.");
+          log::debug!("agent: flow of {caller} was closed, its requests are aborted: {error}.");
           requests.abort_all();
           break;
         }
--- a/src/agent/tunnel.rs
+++ b/src/agent/tunnel.rs
@@ -203,6 +203,12 @@
           .shared
           .path()
           .note_packet(now, carry.caller, balancer, direct);
+        if let (Action::Open, Flow::Keyed { key, .. }) = (action, carry.flow) {
+          log::debug!(
+            "agent: opening flow {key:016x} of {}; it came through balancer {balancer}.",
+            carry.caller
+          );
+        }
         self.send_found(tagger, from, carry);
         self.queue_packet(carry.caller, packet);
       }
