Relay packets for a silent target through a live one

Callers: while a balancer is cut off from some agents, every packet that reaches it for a flow at one of those is lost: about half of a flow's packets with two halves. A new flow needs several round trips and failed with "deadline has elapsed" after 10 s, or with "reset by peer" after a minute.

Cause: a packet that names a silent target, and the copy of a packet that names none, was sent to that target alone, though other agents reach it.

Change: a packet for a silent target is also sent through a live target, which forwards it as it does for a balancer that does not know the target. Copies of packets that name no target likewise. `packets.relayed` counts the former.

The datagram path is not affected: its balancers ask all agents of a service where a flow is.

--- a/src/balancer/worker.rs
+++ b/src/balancer/worker.rs
@@ -224,10 +224,19 @@
             packet,
             outbox,
           )?;
+          if let Some(relay) = routing::Machine::relay(table, copy.target, caller.port().into()) {
+            let chain = Chain::from_iter([copy.target]);
+            self.push_carry(tagger, relay, carry(relay, chain, false), packet, outbox)?;
+          }
         }
         self.push_carry(tagger, first, carry(first, chain, true), packet, outbox)
       }
       Route::Named(hop) | Route::Relay(hop) => {
+        if let Some(relay) = routing::Machine::relay(table, hop.target, caller.port().into()) {
+          self.counter.add("packets.relayed", 1);
+          let carry = carry(relay, Chain::new(), false);
+          self.push_carry(tagger, relay, carry, packet, outbox)?;
+        }
         self.push_carry(tagger, hop, carry(hop, Chain::new(), false), packet, outbox)
       }
     }
--- a/src/routing/machine.rs
+++ b/src/routing/machine.rs
@@ -83,6 +83,17 @@
       .map(Hop::from)
   }
 
+  /// A live target through which a packet for a silent one is sent as well, since that may be
+  /// unreachable only from this process; none if the target is not silent. `key` distributes the
+  /// packets over the live targets.
+  pub fn relay(table: &Table, target: id::Target, key: u64) -> Option<Hop> {
+    let entry = table.get(target)?;
+    if entry.health != Health::Silent {
+      return None;
+    }
+    Self::alternative(table, key, &[target])
+  }
+
   fn route_named(table: &Table, target: id::Target) -> Result<Route, Code> {
     if let Some(entry) = table.get(target) {
       return Ok(Route::Named(Hop::from(entry)));
--- a/tests/machines/routing.rs
+++ b/tests/machines/routing.rs
@@ -198,6 +198,24 @@
   assert_eq!(path.choose(start, caller, &mut rng), Some(first));
 }
 
+/// Guards against the loss of all packets that reach a balancer which is cut off from their target,
+/// while other targets can reach it.
+#[test]
+fn packets_for_a_silent_target_are_also_sent_through_a_live_one() {
+  let table = table(4, |id| match id {
+    1 | 2 => Health::Silent,
+    3 => Health::Leaving,
+    _ => Health::Live,
+  });
+  let relay = |target, key| Machine::relay(&table, id::Target(target), key);
+  for key in 0..20 {
+    assert_matches!(relay(1, key), Some(hop) if hop.target.0 == 4);
+    assert_eq!(relay(3, key), None);
+    assert_eq!(relay(4, key), None);
+    assert_eq!(relay(9, key), None);
+  }
+}
+
 #[test]
 fn unresponsive_balancer_is_probed_once_per_second() {
   let mut path = Path::default();
