Send answers through balancers that were heard from recently

Callers: a flow that was opened in the first seconds of a partition often got no answer to its first packet. Its caller sent it again after a second, and if that reached the other half, a second agent opened the same connection. The caller then acknowledged packets of both agents to one of them, which closed the connection: "unsent packet acked".

Cause: the balancer of a forwarded packet does not count as reachable, so that the answer goes through a random balancer that was heard from within 2.5 s: with two halves, half of these answers are lost until 2.5 s after the cut.

Change: balancers that were heard from within 1.5 s go before others: one that can be reached is probed after a second and answers. A packet that came through another agent does not replace the balancer of a direct one.

--- a/src/routing/path.rs
+++ b/src/routing/path.rs
@@ -14,6 +14,10 @@
 /// this time.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// A balancer that can be reached is heard from within this time: it is probed after
+/// `PROBE_INTERVAL`, and the probe is answered.
+const HEARD_RECENTLY: Duration = Duration::from_millis(1500);
+
 /// How long a caller, or a balancer that the configuration doesn't name, is remembered after its
 /// last packet.
 const CALLER_TTL: Duration = Duration::from_mins(2);
@@ -22,7 +26,8 @@
 const CALLERS_MAX: usize = 100_000;
 
 /// Chooses the balancer that sends an answer to its caller: the one that forwarded the caller's
-/// last packet; if that is unresponsive, a random responsive one; if none is responsive, any.
+/// last packet, directly if one did; if that was not heard from recently, a random one that was; then
+/// a random responsive one; if none is responsive, any.
 #[derive(Debug, Default)]
 pub struct Path {
   balancers: HashMap<SocketAddr, Balancer>,
@@ -41,7 +46,7 @@
 impl Path {
   /// Records the balancer of a caller's packet. The balancer counts as responsive only if it sent
   /// the packet to this agent directly: one whose packet another agent forwarded may be unreachable
-  /// from here.
+  /// from here. It does not replace one that was heard from recently.
   pub fn note_packet(
     &mut self,
     now: Instant,
@@ -52,28 +57,27 @@
     if direct {
       self.note_heard(now, balancer);
     }
-    if self.callers.len() < CALLERS_MAX || self.callers.contains_key(&caller) {
-      self.callers.insert(caller, (balancer, now));
+    let known = self.callers.get(&caller).map(|(known, _)| *known);
+    let kept = known.filter(|known| !direct && self.is_heard(now, *known, HEARD_RECENTLY));
+    if known.is_some() || self.callers.len() < CALLERS_MAX {
+      self.callers.insert(caller, (kept.unwrap_or(balancer), now));
     }
   }
 
   /// The balancer for an answer to `caller`; none if no balancer is known.
   pub fn choose(&self, now: Instant, caller: SocketAddr, rng: &mut SmallRng) -> Option<SocketAddr> {
-    if let Some((balancer, _)) = self.callers.get(&caller)
-      && self.is_responsive(now, *balancer)
-    {
-      return Some(*balancer);
-    }
-    let responsive = self
-      .balancers
-      .iter()
-      .filter(|(_, state)| now.duration_since(state.last_heard) < BALANCER_TIMEOUT)
-      .map(|(address, _)| *address)
-      .collect::<Vec<_>>();
-    if responsive.is_empty() {
-      return self.any(rng);
+    let last = self.callers.get(&caller).map(|(balancer, _)| *balancer);
+    for within in [HEARD_RECENTLY, BALANCER_TIMEOUT] {
+      if let Some(balancer) = last.filter(|balancer| self.is_heard(now, *balancer, within)) {
+        return Some(balancer);
+      }
+      let heard = self.balancers.keys().copied();
+      let heard = heard.filter(|balancer| self.is_heard(now, *balancer, within));
+      if let Some(balancer) = random(heard.collect(), rng) {
+        return Some(balancer);
+      }
     }
-    Some(responsive[rng.random_range(0..responsive.len())])
+    random(self.balancers.keys().copied().collect(), rng)
   }
 
   /// Records a frame from a balancer as a sign of life.
@@ -143,19 +147,19 @@
       .retain(|_, state| state.listed || now.duration_since(state.last_heard) < CALLER_TTL);
   }
 
-  /// A random balancer, responsive or not.
-  fn any(&self, rng: &mut SmallRng) -> Option<SocketAddr> {
-    let all = self.balancers.keys().copied().collect::<Vec<_>>();
-    if all.is_empty() {
-      return None;
-    }
-    Some(all[rng.random_range(0..all.len())])
-  }
-
-  fn is_responsive(&self, now: Instant, balancer: SocketAddr) -> bool {
+  /// Whether a frame from a balancer has arrived within this time.
+  fn is_heard(&self, now: Instant, balancer: SocketAddr, within: Duration) -> bool {
     self
       .balancers
       .get(&balancer)
-      .is_some_and(|state| now.duration_since(state.last_heard) < BALANCER_TIMEOUT)
+      .is_some_and(|state| now.duration_since(state.last_heard) < within)
+  }
+}
+
+/// One of these balancers; none if there is none.
+fn random(balancers: Vec<SocketAddr>, rng: &mut SmallRng) -> Option<SocketAddr> {
+  if balancers.is_empty() {
+    return None;
   }
+  Some(balancers[rng.random_range(0..balancers.len())])
 }
--- a/tests/machines/routing.rs
+++ b/tests/machines/routing.rs
@@ -198,6 +198,47 @@
   assert_eq!(path.choose(start, caller, &mut rng), Some(first));
 }
 
+/// Guards against answers to new flows that are lost since they are sent through a balancer that has
+/// been cut off.
+#[test]
+fn answers_avoid_a_balancer_that_was_not_heard_from_recently() {
+  let (first, second, third) = (balancer(1), balancer(2), balancer(3));
+  let caller = SocketAddr::from(([127, 0, 0, 1], 9));
+  let mut rng = SmallRng::seed_from_u64(1);
+  let mut path = Path::default();
+  let start = Instant::now();
+  path.set_listed(start, &[first, second]);
+  path.note_heard(start, first);
+  let later = start + Duration::from_millis(1600);
+  path.note_heard(later, second);
+  path.note_packet(later, caller, third, false);
+  for _ in 0..50 {
+    assert_eq!(path.choose(later, caller, &mut rng), Some(second));
+  }
+  let later = later + Duration::from_millis(1600);
+  assert_eq!(path.choose(later, caller, &mut rng), Some(second));
+}
+
+/// Guards against answers that are lost since a balancer that is cut off from here reaches the agent
+/// through another one.
+#[test]
+fn a_forwarded_packet_does_not_replace_the_balancer_of_a_direct_one() {
+  let (first, second) = (balancer(1), balancer(2));
+  let caller = SocketAddr::from(([127, 0, 0, 1], 9));
+  let mut rng = SmallRng::seed_from_u64(1);
+  let mut path = Path::default();
+  let start = Instant::now();
+  path.set_listed(start, &[first, second]);
+  path.note_heard(start, second);
+  path.note_packet(start, caller, first, true);
+  path.note_packet(start, caller, second, false);
+  assert_eq!(path.choose(start, caller, &mut rng), Some(first));
+  let later = start + Duration::from_secs(2);
+  path.note_heard(later, second);
+  path.note_packet(later, caller, second, false);
+  assert_eq!(path.choose(later, caller, &mut rng), Some(second));
+}
+
 /// Guards against the loss of all packets that reach a balancer which is cut off from their target,
 /// while other targets can reach it.
 #[test]
