Refuse new flows of a service whose targets are all leaving or full

Callers of a QUIC service: while all targets drained, the packets of a new flow were dropped without a word, and the caller waited until its handshake timed out (10 s in the tests).

Cause: an agent that can neither open a flow nor redirect it reports the reason to the balancer only, which does nothing with it for a flow.

Change: such an opening packet is also given to the transport, which refuses the connection (CONNECTION_REFUSED, RFC 9000, 10.2) as long as the target takes no flows. No request has run, since none is accepted before the handshake. `flows.rejected` counts them.

Measured: broken_flows::new_flows_are_refused_while_all_targets_drain fails before ("deadline has elapsed") and passes now.

--- a/src/agent/serve.rs
+++ b/src/agent/serve.rs
@@ -70,6 +70,12 @@
 
 async fn accept(shared: &Arc<Shared>, endpoint: &Endpoint) {
   while let Some(incoming) = endpoint.accept().await {
+    if !shared.accepts_flows() {
+      // Tells the caller at once, instead of letting it wait until its handshake times out.
+      shared.counter.add("flows.rejected", 1);
+      incoming.refuse();
+      continue;
+    }
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
       serve_connection(shared, incoming).await;
--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -188,6 +188,11 @@
     self.started.elapsed() < self.repeat_window()
   }
 
+  /// Whether the target may open new flows: it is not leaving and has not reached its limit.
+  pub fn accepts_flows(&self) -> bool {
+    !self.is_leaving() && self.flows.load(Ordering::Relaxed) < self.flows_max()
+  }
+
   /// Whether the target is leaving, and so starts no new requests.
   pub fn is_leaving(&self) -> bool {
     *self.leaving.borrow()
@@ -258,17 +263,22 @@
     Duration::from_secs(service.map_or(600, |service| service.repeat_window_s))
   }
 
-  /// The load that the target reports, in 1/255 of its flow limit.
-  pub fn load(&self) -> u8 {
+  /// How many flows may be open at the target; one while it is not listed.
+  fn flows_max(&self) -> u32 {
     let service = self.service();
     let target = service
       .as_ref()
       .and_then(|service| service.target(self.settings.target));
-    let limit = target.map_or(1, |target| target.connections);
+    target.map_or(1, |target| target.connections)
+  }
+
+  /// The load that the target reports, in 1/255 of its flow limit.
+  pub fn load(&self) -> u8 {
+    let service = self.service();
     let ramp = service.as_ref().map_or(0, |service| service.ramp_s);
     load::level(
       self.flows.load(Ordering::Relaxed),
-      limit,
+      self.flows_max(),
       self.started,
       Instant::now(),
       Duration::from_secs(ramp),
--- a/src/agent/tunnel.rs
+++ b/src/agent/tunnel.rs
@@ -218,7 +218,12 @@
           self.forward(tagger, balancer, carry, Forward::to(to), packet, outbox);
         }
       }
-      Action::Refuse(code) => self.refuse(tagger, balancer, carry, code),
+      Action::Refuse(code) => {
+        self.refuse(tagger, balancer, carry, code);
+        if matches!(code, Code::TargetFull | Code::TargetLeaving) && carry.may_open {
+          self.reject(now, balancer, carry, packet);
+        }
+      }
       Action::Skip => {}
     }
   }
@@ -275,6 +280,21 @@
     self.send_frame(tagger, to, &refusal);
   }
 
+  /// Lets the transport refuse a new flow that no target opens, so that its caller is told at once.
+  fn reject(&self, now: Instant, balancer: SocketAddr, carry: &Carry, packet: &[u8]) {
+    // The transport would open the flow otherwise.
+    if self.shared.accepts_flows() {
+      return;
+    }
+    log::debug!("agent: rejecting a flow of {}.", carry.caller);
+    let direct = carry.hops == 0;
+    self
+      .shared
+      .path()
+      .note_packet(now, carry.caller, balancer, direct);
+    self.queue_packet(carry.caller, packet);
+  }
+
   /// Notifies the agent from which a forwarded packet came that this target has the packet's flow.
   fn send_found(&self, tagger: &Tagger, to: SocketAddr, carry: &Carry) {
     let Flow::Keyed { key, .. } = carry.flow else {
--- a/tests/integration/broken_flows.rs
+++ b/tests/integration/broken_flows.rs
@@ -200,6 +200,28 @@
   assert!(status.success());
 }
 
+/// Guards against callers that wait without a word, until their handshakes time out, for a service
+/// whose targets are all leaving.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_flows_are_refused_while_all_targets_drain() {
+  let mut fleet = Fleet::new()
+    .balancers(2)
+    .service(1, 2)
+    .drain_s(60)
+    .start()
+    .await;
+  let feeds = Feeds::open(&fleet, 1, 6).await;
+  for target in [1, 2] {
+    fleet.agent(1, target).stop();
+    fleet.wait_draining(1, target).await;
+  }
+  for _ in 0..4 {
+    let fault = fleet.try_caller(1).await.err().expect("no new flow");
+    assert!(fault.detail.contains("refused"), "{fault}");
+  }
+  feeds.assert_intact("all targets draining").await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn feeds_survive_a_balancer_with_outdated_configuration() {
   let mut fleet = Fleet::new()
