--- a/src/datagram/balancer/place.rs
+++ b/src/datagram/balancer/place.rs
@@ -111,7 +111,8 @@
   /// Whether the caller may have sent a retransmission that has not come here. A packet may take up
   /// to half of the interval between two transmissions to get here.
   pub fn may_have_missed<C: Codec>(&self, now: Instant) -> bool {
-    let interval = C::retransmit_after(self.attempt + 1) - C::retransmit_after(self.attempt);
+    let next = C::retransmit_after(self.attempt + 1);
+    let interval = next.saturating_sub(C::retransmit_after(self.attempt));
     let age = now.saturating_duration_since(self.last_received);
     self.attempt + 1 < C::OPEN_ATTEMPTS && age >= interval / 2
   }
--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -286,12 +286,11 @@
   /// Gives up flows whose callers would give up before an answer reached them, all flows of a service
   /// that no target serves, and flows that are known not to be served.
   pub(super) fn expire_queued(&mut self, now: Instant, class: &FlowClass, out: &mut Outbox) {
-    let (ttl, reason) = match self.unservable(now, &class.service) {
-      Some(reason) => (Duration::ZERO, reason),
-      None => {
-        let ttl = C::CONNECT_TIMEOUT.saturating_sub(ANSWER_LATENCY_MAX);
-        (ttl, Reason::Expired)
-      }
+    let (ttl, reason) = if let Some(reason) = self.unservable(now, &class.service) {
+      (Duration::ZERO, reason)
+    } else {
+      let ttl = C::CONNECT_TIMEOUT.saturating_sub(ANSWER_LATENCY_MAX);
+      (ttl, Reason::Expired)
     };
     while let Some(queued) = self.queue.oldest(class) {
       let (first, _) = queued;
--- a/src/routing/path.rs
+++ b/src/routing/path.rs
@@ -73,11 +73,11 @@
       }
       let heard = self.balancers.keys().copied();
       let heard = heard.filter(|balancer| self.is_heard(now, *balancer, within));
-      if let Some(balancer) = random(heard.collect(), rng) {
+      if let Some(balancer) = random(heard, rng) {
         return Some(balancer);
       }
     }
-    random(self.balancers.keys().copied().collect(), rng)
+    random(self.balancers.keys().copied(), rng)
   }
 
   /// Records a frame from a balancer as a sign of life.
@@ -157,7 +157,8 @@
 }
 
 /// One of these balancers; none if there is none.
-fn random(balancers: Vec<SocketAddr>, rng: &mut SmallRng) -> Option<SocketAddr> {
+fn random(balancers: impl Iterator<Item = SocketAddr>, rng: &mut SmallRng) -> Option<SocketAddr> {
+  let balancers = balancers.collect::<Vec<_>>();
   if balancers.is_empty() {
     return None;
   }
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -147,7 +147,7 @@
   agent.platform(update(None, 3, &[configured(1, 1, &[(1, "a")])]));
   assert_eq!(agent.machine.dump(agent.now)["leaving"], true);
   let packet = Packet::open(flow(40_002, 1), 0);
-  let sent = deliver(&mut agent, Handling::Open, packet.clone());
+  let sent = deliver(&mut agent, Handling::Open, packet);
   assert_matches!(
     &sent[..],
     [Sent::Frame(_, Frame::Refused(_, Refusal::Leaving, _), _)]
