Log who denied a flow that is reset, and for which services it was searched

A reset said how many agents had been queried.

The line of a search names the agents and services of its first queries, that of a reset the agents that denied, those that counted as lost, the services and whether the history was known.

--- a/src/datagram/balancer/search.rs
+++ b/src/datagram/balancer/search.rs
@@ -25,8 +25,12 @@
   pub acknowledges: u32,
   /// When agents that have not answered are queried again.
   pub deadline: Instant,
+  /// The agents that have denied the flow.
+  pub denied: Agents,
   /// Whether agents of other data centres are queried too.
   pub is_wide: bool,
+  /// The agents that counted as lost before they had answered.
+  pub lost: Agents,
   /// The packets that have come during the search.
   packets: Vec<Vec<u8>>,
   /// The agents that have neither confirmed nor denied the flow.
@@ -56,7 +60,9 @@
     Self {
       acknowledges,
       deadline: now,
+      denied: except.into_iter().collect(),
       is_wide: false,
+      lost: Agents::new(),
       packets: Vec::new(),
       pending: Agents::new(),
       queried: except.into_iter().collect(),
@@ -120,11 +126,21 @@
 
   /// Records that an agent denies the flow.
   pub fn record_denial(&mut self, agent: SocketAddrV4) {
+    if self.pending.contains(&agent) {
+      self.denied.push(agent);
+    }
     self.retain_pending(|other| other != agent);
   }
 
+  /// Stops waiting for agents that are lost.
+  pub fn record_lost(&mut self, is_lost: impl Fn(SocketAddrV4) -> bool) {
+    let lost = self.pending.iter().filter(|agent| is_lost(**agent));
+    self.lost.extend(lost.copied());
+    self.retain_pending(|agent| !is_lost(agent));
+  }
+
   /// Stops waiting for agents other than those `kept`.
-  pub fn retain_pending(&mut self, kept: impl Fn(SocketAddrV4) -> bool) {
+  fn retain_pending(&mut self, kept: impl Fn(SocketAddrV4) -> bool) {
     self.pending.retain(|agent| kept(*agent));
     self.unsure.retain(|(agent, _)| kept(*agent));
     self.testing.retain(|agent| kept(*agent));
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -50,7 +50,10 @@
         self.counter.count(Code::FlowUnknown);
         return;
       }
-      log::info!(flow:% = flow, queried = queried.len(); "balancer: flow is searched for.");
+      log::info!(
+        flow:% = flow, queried:? = queried, services:? = names(&services);
+        "balancer: flow is searched for."
+      );
       let wait = if search.is_wide {
         self.tuning.search
       } else {
@@ -179,17 +182,20 @@
       self.test_unsure(now, flow, out);
       return;
     }
-    let queried = search.queried.len();
     if !is_up_to_date || !self.is_history_complete(now) {
       self.denied.insert(flow);
       return;
     }
-    self.end_search(&flow);
+    let Some(search) = self.end_search(&flow) else {
+      return;
+    };
     if self.flows.contains_key(&flow) {
       return;
     }
     log::info!(
-      flow:% = flow, queried = queried, acknowledges = acknowledges,
+      flow:% = flow, denied:? = search.denied, lost:? = search.lost,
+      services:? = names(&services), acknowledges = acknowledges,
+      history_known = self.history.is_known(),
       synced:% = self.gossip.catalog().synced(), confirmed:? = self.gossip.confirmed(now);
       "balancer: flow is denied by all agents and is reset."
     );
@@ -245,7 +251,7 @@
     // as lost.
     let is_early = now.saturating_duration_since(search.started) < self.tuning.peer_timeout;
     let may_answer = is_early && !self.gossip.is_full_mesh();
-    search.retain_pending(|agent| may_answer || !targets.is_lost(now, agent));
+    search.record_lost(|agent| !may_answer && targets.is_lost(now, agent));
     self.query_rest(now, flow, out);
     let Some(search) = self.searches.get_mut(&flow) else {
       return;
@@ -300,3 +306,8 @@
     }
   }
 }
+
+/// The names of services, for the log.
+fn names(services: &[Service]) -> Vec<String> {
+  services.iter().map(Service::to_string).collect()
+}
