Count a denial only for the services that the agent was asked about

Cause: a query names the services that the balancer knows for the route. An agent whose upstream belongs to none of them answered "absent", also if it held the flow. Where the balancer learnt of the withdrawn service only afterwards, from a peer's history, the agent was not asked again and its denial stood. Trace on: eight agents denied, the owner among them, 5 ms after a query that named huvo11a alone; the reset names huvo11a and wuno96b.

Change: an agent answers from its flow table and from what it knows of the route itself. Where it has to test the flow and neither the query nor its own catalog names its service, it says so (`Foreign`) instead of denying; the balancer asks it again once the service is known. A flow that the agent certainly does not own is denied as before, so that lost flows are reset with the same number of messages.

--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -156,10 +156,13 @@
   /// acknowledged: found, absent, or unsure where a packet is needed for a test. A flow under test
   /// is answered later.
   ///
+  /// The balancer may not know all `services` that a flow's address was routed to. A flow of another
+  /// service is answered too if this agent knows that the address was routed to its own; otherwise
+  /// only if it is certainly absent, since no packet of it may reach the upstream.
+  ///
   /// # Errors
   ///
-  /// `Code::FrameWrongService` where the upstream's service is none of `services`; the flows are
-  /// reported absent.
+  /// `Code::FrameWrongService` where the upstream's service is none that a flow may belong to.
   pub(super) fn answer_query(
     &mut self,
     now: Instant,
@@ -170,35 +173,41 @@
     out: &mut Outbox,
   ) -> Result<(), Code> {
     self.gossip.note_heard(now, from, true);
-    if !services.contains(&self.upstream.service.digest()) {
-      let known = self.known_targets(now, synced);
-      let flows = flows.iter().map(|(flow, _)| *flow).collect();
-      let lost = false;
-      out.frame(from, &Frame::Absent { flows, known, lost }, &[]);
-      return Err(Code::FrameWrongService);
-    }
-    let (mut absent, mut unsure) = (Vec::new(), Vec::new());
+    let service = self.upstream.service.digest();
+    let is_named = services.contains(&service);
+    let (mut absent, mut foreign, mut unsure) = (Vec::new(), Vec::new(), Vec::new());
     for (flow, acknowledges) in flows {
+      let may_own = is_named || self.was_routed_here(flow);
       match self.ownership(now, from, flow, *acknowledges) {
-        Ownership::Owned => out.frame(from, &found_frame(*flow, &self.upstream), &[]),
         Ownership::NotOwned => absent.push(*flow),
+        _ if !may_own => foreign.push(*flow),
+        Ownership::Owned => out.frame(from, &found_frame(*flow, &self.upstream), &[]),
         Ownership::Testing => {}
         Ownership::Unknown => unsure.push(*flow),
       }
     }
     if !unsure.is_empty() {
-      let frame = Frame::Unsure {
-        flows: unsure,
-        service: self.upstream.service.digest(),
-      };
-      out.frame(from, &frame, &[]);
+      let flows = unsure;
+      out.frame(from, &Frame::Unsure { flows, service }, &[]);
     }
     if !absent.is_empty() {
       let known = self.known_targets(now, synced);
       let (flows, lost) = (absent, false);
       out.frame(from, &Frame::Absent { flows, known, lost }, &[]);
     }
-    Ok(())
+    if foreign.is_empty() {
+      return Ok(());
+    }
+    let flows = foreign;
+    out.frame(from, &Frame::Foreign { flows, service }, &[]);
+    Err(Code::FrameWrongService)
+  }
+
+  /// Whether the flow's address is, or was within a flow's lifetime, routed to the upstream's
+  /// service.
+  fn was_routed_here(&self, flow: &Flow) -> bool {
+    let services = self.gossip.catalog().services(&flow.route);
+    services.contains(&self.upstream.service)
   }
 
   /// Whether the upstream owns a flow whose caller last acknowledged `acknowledges`. The outcome of
--- a/src/datagram/balancer/frames.rs
+++ b/src/datagram/balancer/frames.rs
@@ -36,6 +36,7 @@
       | Frame::FanOut { .. }
       | Frame::Restore { .. }
       | Frame::Test { .. } => return Err(Code::FrameWrongTarget),
+      Frame::Foreign { flows, service } => self.record_foreign(now, from, &flows, service, out),
       Frame::Found { flow, service } => self.complete_search(now, from, flow, service, out),
       Frame::Grant { load, priority } => self.accept_grant(now, from, load, priority, out),
       Frame::Handover { flows, part, parts } => {
--- a/src/datagram/balancer/search.rs
+++ b/src/datagram/balancer/search.rs
@@ -27,6 +27,9 @@
   pub deadline: Instant,
   /// The agents that have denied the flow.
   pub denied: Agents,
+  /// The agents that could not answer since the query did not name the services of their upstreams,
+  /// with these services.
+  pub foreign: AgentsOfServices,
   /// Whether agents of other data centres are queried too.
   pub is_wide: bool,
   /// The agents that counted as lost before they had answered.
@@ -61,6 +64,7 @@
       acknowledges,
       deadline: now,
       denied: except.into_iter().collect(),
+      foreign: AgentsOfServices::new(),
       is_wide: false,
       lost: Agents::new(),
       packets: Vec::new(),
@@ -132,6 +136,25 @@
     self.retain_pending(|other| other != agent);
   }
 
+  /// Records that an agent could not answer a query that did not name its upstream's `service`.
+  pub fn record_foreign(&mut self, agent: SocketAddrV4, service: Digest) {
+    if self.pending.contains(&agent) {
+      self.foreign.push((agent, service));
+    }
+    self.retain_pending(|other| other != agent);
+  }
+
+  /// Waits again for the agents that could not answer, now that the flow may belong to one of
+  /// `services`. Returns those whose upstreams are of these.
+  pub fn retry_foreign(&mut self, services: &[Digest]) -> Agents {
+    let is_named = |(_, service): &(SocketAddrV4, Digest)| services.contains(service);
+    let named = self.foreign.iter().filter(|foreign| is_named(foreign));
+    let named = named.map(|(agent, _)| *agent).collect::<Agents>();
+    self.foreign.retain(|foreign| !is_named(foreign));
+    self.pending.extend_from_slice(&named);
+    named
+  }
+
   /// Stops waiting for agents that are lost.
   pub fn record_lost(&mut self, is_lost: impl Fn(SocketAddrV4) -> bool) {
     let lost = self.pending.iter().filter(|agent| is_lost(**agent));
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -106,6 +106,24 @@
     }
   }
 
+  /// Records that an agent could not answer for some flows, since the query did not name its
+  /// `service`.
+  pub(super) fn record_foreign(
+    &mut self,
+    now: Instant,
+    from: SocketAddrV4,
+    flows: &[Flow],
+    service: Digest,
+    out: &mut Outbox,
+  ) {
+    for flow in flows {
+      if let Some(search) = self.searches.get_mut(flow) {
+        search.record_foreign(from, service);
+        self.advance_search(now, *flow, out);
+      }
+    }
+  }
+
   /// Adds the removed targets that an agent reports. They belong to its own service, or if that is
   /// not known here, to those of the flows.
   fn add_removed_targets(
@@ -174,8 +192,9 @@
     search.is_wide = true;
     let services = self.gossip.catalog().services(&flow.route);
     let holders = self.targets.holders(&services);
-    // Agents that have become known meanwhile are included.
-    let (new, acknowledges) = (search.add_queried(holders), search.acknowledges);
+    // Agents and services that have become known meanwhile are included.
+    let (mut new, acknowledges) = (search.add_queried(holders), search.acknowledges);
+    new.extend(search.retry_foreign(&digests(&services)));
     let is_up_to_date = self.gossip.catalog().synced() >= search.required_revision;
     if !search.pending.is_empty() {
       self.query(now, flow, acknowledges, &new);
@@ -193,8 +212,8 @@
       return;
     }
     log::info!(
-      flow:% = flow, denied:? = search.denied, lost:? = search.lost,
-      services:? = names(&services), acknowledges = acknowledges,
+      flow:% = flow, denied:? = search.denied, foreign:? = search.foreign,
+      lost:? = search.lost, services:? = names(&services), acknowledges = acknowledges,
       history_known = self.history.is_known(),
       synced:% = self.gossip.catalog().synced(), confirmed:? = self.gossip.confirmed(now);
       "balancer: flow is denied by all agents and is reset."
@@ -299,14 +318,17 @@
 
   /// Adds queries, which are sent with the next timer.
   fn query(&mut self, now: Instant, flow: Flow, acknowledges: u32, agents: &[SocketAddrV4]) {
-    let services = self.gossip.catalog().services(&flow.route);
-    let services = services.iter().map(Service::digest).collect::<Digests>();
+    let services = digests(&self.gossip.catalog().services(&flow.route));
     for agent in agents {
       self.queries.add(now, *agent, &services, flow, acknowledges);
     }
   }
 }
 
+fn digests(services: &[Service]) -> Digests {
+  services.iter().map(Service::digest).collect()
+}
+
 /// The names of services, for the log.
 fn names(services: &[Service]) -> Vec<String> {
   services.iter().map(Service::to_string).collect()
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -282,6 +282,14 @@
     /// The version of the configuration that the balancer applies.
     version: Version,
   },
+  /// The agent cannot tell whether it owns the flows: the query did not name its service, and
+  /// answering would take a test at its upstream.
+  Foreign {
+    /// The flows.
+    flows: Vec<Flow>,
+    /// The service of the agent's upstream.
+    service: Digest,
+  },
 }
 
 impl Frame {
--- a/tests/datagram/main.rs
+++ b/tests/datagram/main.rs
@@ -9,6 +9,7 @@
 mod catalog;
 mod cold;
 mod delta;
+mod denials;
 mod evacuations;
 mod failing;
 mod fan_out;
