--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -17,6 +17,7 @@
 pub mod event;
 mod flow;
 mod former_backends;
+mod former_targets;
 /// The messages that processes exchange as datagrams.
 pub mod frame;
 mod gossip;
@@ -48,6 +49,7 @@
   event::{Event, Machine, Origin},
   flow::{Flow, FlowInvalid},
   former_backends::FormerBackends,
+  former_targets::FormerTargets,
   frame::Frame,
   gossip::{Agents, Gossip},
   handover::Handover,
--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -316,7 +316,7 @@
   /// The other targets that may own a flow of this service: tombstones, and targets that are newer
   /// than the revision up to which the asker knows the target list. Where all of these are named,
   /// the asker needs no later list to conclude that a flow is lost, even while the list keeps
-  /// changing.
+  /// changing. It needs the configuration in force, which names the services.
   pub(super) fn known_targets(&self, now: Instant, asker: Revision) -> Known {
     let synced = self.gossip.catalog().synced();
     let entries = self.gossip.catalog().entries();
@@ -331,10 +331,23 @@
         target.service == self.upstream.service && target.address != self.upstream.address;
       may_own.then_some((target.address, age.as_millis() as u32))
     });
+    let former = self.gossip.catalog().former_targets().all();
+    let former = former.filter(|(_, service, _)| **service == self.upstream.service);
+    let former = former.map(|(instance, _, removed)| {
+      let age = now.saturating_duration_since(removed);
+      (SocketAddrV4::new(instance, 0), age.as_millis() as u32)
+    });
+    let tombstones = tombstones.chain(former);
     let tombstones = tombstones.take(KNOWN_MAX).collect::<Vec<_>>();
     let all_named = tombstones.len() < KNOWN_MAX;
+    // A later configuration may have added services that the asker does not know.
+    let configured = self.gossip.catalog().configured();
     Known {
-      synced: if all_named { synced.min(asker) } else { synced },
+      synced: if all_named {
+        synced.min(asker).max(configured)
+      } else {
+        synced
+      },
       tombstones,
     }
   }
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -205,8 +205,17 @@
         self.take_update(now, Origin::Peer(from), update, out);
         Ok(())
       }
+      Frame::HistoryRequest => {
+        self.gossip.send_history(now, from, out);
+        Ok(())
+      }
+      Frame::History(history) => {
+        self.gossip.take_history(now, from, &history);
+        Ok(())
+      }
       Frame::Status(status) => {
         self.gossip.handle_status(now, from, &status);
+        self.gossip.request_history(now, from, out);
         Ok(())
       }
       _ => Err(Code::FrameWrongTarget),
--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -13,7 +13,6 @@
 mod evacuations;
 mod frames;
 mod granted;
-mod history;
 mod machine;
 mod measuring;
 mod opening;
--- a/src/datagram/balancer/frames.rs
+++ b/src/datagram/balancer/frames.rs
@@ -23,7 +23,7 @@
     self.note_stall(now);
     let (frame, packet) = Frame::decode(bytes)?;
     match frame {
-      Frame::HistoryRequest => self.send_history(now, from, out),
+      Frame::HistoryRequest => self.gossip.send_history(now, from, out),
       Frame::Absent {
         flows, lost: true, ..
       } => self.reset_lost_flows(now, from, &flows, packet, out),
@@ -44,18 +44,7 @@
         handover.add_part(now, part, parts, flows);
         self.restarts.begin(now, from);
       }
-      Frame::History {
-        known,
-        former_backends,
-        part,
-        parts,
-        tombstones,
-      } => {
-        self.targets.import(now, &tombstones);
-        self.gossip.import(now, &former_backends);
-        self.history.add_part(now, from, part, parts, known);
-        self.conclude_denied(now, out);
-      }
+      Frame::History(history) => self.take_history(now, from, &history, out),
       Frame::Update(update) => self.take_update(now, Origin::Peer(from), update, out),
       Frame::Opened(flow, load) => self.complete_opening(now, from, flow, load),
       Frame::Refused(flow, refusal, load) => {
@@ -75,8 +64,8 @@
     out: &mut Outbox,
   ) {
     self.gossip.handle_status(now, from, status);
+    self.gossip.request_history(now, from, out);
     let Role::Agent(load) = status.role else {
-      self.request_history(now, from, out);
       return;
     };
     let change = self.targets.record_status(now, from, status, load);
@@ -115,7 +104,7 @@
       self.targets.evacuations.update(listed, from);
     }
     if !change.is_empty() {
-      self.targets.update(self.gossip.catalog());
+      self.targets.update(now, self.gossip.catalog());
     }
     if change.configuration {
       self.update_lowest_priorities();
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -2,7 +2,6 @@
   super::{
     announced::Announced,
     egress::Egress,
-    history::History,
     patience::Patience,
     place::{Place, State},
     queries::Queries,
@@ -62,7 +61,6 @@
   /// Whether timers have run before: if the first run is late, that is a slow start and not a
   /// stall.
   pub(super) has_run: bool,
-  pub(super) history: History,
   pub(super) last_expiry: Instant,
   /// When a packet of each flow was last sent to an agent as a test.
   pub(super) last_tested: HashMap<Flow, Instant>,
@@ -109,7 +107,6 @@
       flows: HashMap::new(),
       handovers: HashMap::new(),
       has_run: false,
-      history: History::new(now, settings.first_start),
       last_expiry: now,
       last_tested: HashMap::new(),
       lowest_priorities: HashMap::new(),
@@ -191,7 +188,7 @@
       self.opening_deadlines.pop_first();
       self.time_out_opening(now, deadline, flow, out);
     }
-    self.request_all_history(now, out);
+    self.request_missing_history(now, out);
     self.conclude_denied(now, out);
     while let Some((deadline, flow)) = self.search_deadlines.first().copied() {
       if deadline > now {
@@ -231,9 +228,8 @@
       .handovers
       .retain(|_, handover| handover.age(now) < HANDOVER_TTL);
     self.gossip.expire(now);
-    self.history.expire(now, self.tuning.flow_lifetime);
     self.targets.expire(now);
-    self.targets.update(self.gossip.catalog());
+    self.targets.update(now, self.gossip.catalog());
   }
 }
 
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -140,8 +140,12 @@
       Some(own) => BTreeSet::from([own.clone()]),
       None => self.services_of(flows),
     };
+    let mut is_new = false;
     for service in &services {
-      self.targets.add_removed(now, service, &known.tombstones);
+      is_new |= self.gossip.import_removed(now, service, &known.tombstones);
+    }
+    if is_new {
+      self.targets.update(now, self.gossip.catalog());
     }
   }
 
@@ -201,7 +205,7 @@
       self.test_unsure(now, flow, out);
       return;
     }
-    if !is_up_to_date || !self.is_history_complete(now) {
+    if !is_up_to_date || !self.gossip.is_history_complete(now) {
       self.denied.insert(flow);
       return;
     }
@@ -214,7 +218,7 @@
     log::info!(
       flow:% = flow, denied:? = search.denied, foreign:? = search.foreign,
       lost:? = search.lost, services:? = names(&services), acknowledges = acknowledges,
-      history_known = self.history.is_known(),
+      history_known = self.gossip.is_history_known(),
       synced:% = self.gossip.catalog().synced(), confirmed:? = self.gossip.confirmed(now);
       "balancer: flow is denied by all agents and is reset."
     );
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -4,7 +4,7 @@
     config::Presence,
     datagram::{
       Agents, Catalog, Entry, Flow, Load, Service, Tuning, Warmup,
-      frame::{Refusal, Status, Tombstone},
+      frame::{Refusal, Status},
       target::StartTime,
       uneven::Crossing,
     },
@@ -125,13 +125,12 @@
 
 /// A target that was removed from the target list before this process saw it there.
 #[derive(Clone, Debug)]
-struct RemovedTarget {
+struct FormerTarget {
   removed: Instant,
   /// When a frame last came from its agent.
   last_heard: Option<Instant>,
   /// When this process learnt of it.
   learnt: Instant,
-  service: Service,
 }
 
 /// All targets that a balancer knows, listed or removed.
@@ -142,9 +141,8 @@
   pub(super) comparisons: BTreeMap<Service, Comparison>,
   pub(super) evacuations: Evacuations,
   pub(super) data_centre: String,
-  /// Targets that were removed before this process saw them listed, as reported by agents and
-  /// peers.
-  reported_removed: BTreeMap<SocketAddrV4, RemovedTarget>,
+  /// Targets that were removed before this process saw them listed, by agent.
+  former: BTreeMap<SocketAddrV4, FormerTarget>,
   port: u16,
   pub(super) services: BTreeMap<Service, Vec<SocketAddrV4>>,
   started: Instant,
@@ -164,7 +162,7 @@
       comparisons: BTreeMap::new(),
       evacuations: Evacuations::default(),
       data_centre,
-      reported_removed: BTreeMap::new(),
+      former: BTreeMap::new(),
       port,
       services: BTreeMap::new(),
       started: now,
@@ -227,79 +225,17 @@
       return false;
     }
     let is_past_grace = |at: Instant| now.saturating_duration_since(at) >= REMOVAL_GRACE;
-    match (self.by_agent.get(&agent), self.reported_removed.get(&agent)) {
+    match (self.by_agent.get(&agent), self.former.get(&agent)) {
       (Some(target), _) => target.removed.is_some_and(is_past_grace) && !self.is_alive(now, target),
-      (None, Some(removed_target)) => {
-        let last = removed_target.last_heard.unwrap_or(removed_target.learnt);
-        is_past_grace(removed_target.removed)
+      (None, Some(former)) => {
+        let last = former.last_heard.unwrap_or(former.learnt);
+        is_past_grace(former.removed)
           && now.saturating_duration_since(last) >= self.tuning.peer_timeout
       }
       (None, None) => !self.unlisted.contains_key(&agent),
     }
   }
 
-  /// Adds targets of a service that were removed from the target list, each with its age in
-  /// milliseconds; true if one of them is new.
-  pub fn add_removed(
-    &mut self,
-    now: Instant,
-    service: &Service,
-    tombstones: &[(SocketAddrV4, u32)],
-  ) -> bool {
-    let mut is_new = false;
-    for (upstream, age_ms) in tombstones {
-      let agent = SocketAddrV4::new(*upstream.ip(), self.port);
-      let agents = self.services.entry(service.clone()).or_default();
-      if agents.contains(&agent) {
-        continue;
-      }
-      let removed = now.checked_sub(Duration::from_millis((*age_ms).into()));
-      agents.push(agent);
-      self.unlisted.remove(&agent);
-      let removed_target = RemovedTarget {
-        removed: removed.unwrap_or(now),
-        last_heard: None,
-        learnt: now,
-        service: service.clone(),
-      };
-      self.reported_removed.insert(agent, removed_target);
-      is_new = true;
-    }
-    is_new
-  }
-
-  /// Adds the removed targets that a peer has reported.
-  pub fn import(&mut self, now: Instant, tombstones: &[Tombstone]) {
-    for tombstone in tombstones {
-      self.add_removed(
-        now,
-        &tombstone.service,
-        &[(tombstone.address, tombstone.age_ms)],
-      );
-    }
-  }
-
-  /// The targets that were removed within the lifetime of a flow.
-  pub fn tombstones(&self, now: Instant, catalog: &Catalog) -> Vec<Tombstone> {
-    let removed = catalog.entries().filter_map(|(_, entry)| {
-      Some(Tombstone {
-        address: entry.target.address,
-        age_ms: age_ms(now, entry.removed?),
-        service: entry.target.service.clone(),
-      })
-    });
-    let reported = self
-      .reported_removed
-      .iter()
-      .map(|(agent, removed_target)| Tombstone {
-        // Only its IP address is used: agents listen on a fixed port.
-        address: *agent,
-        age_ms: age_ms(now, removed_target.removed),
-        service: removed_target.service.clone(),
-      });
-    removed.chain(reported).collect()
-  }
-
   /// Records the load that an agent reports, which is assumed to include all opening packets sent to
   /// it.
   pub fn record_load(&mut self, now: Instant, agent: SocketAddrV4, load: Load) {
@@ -373,8 +309,8 @@
     load: Load,
   ) -> IncarnationChange {
     let Some(target) = self.by_agent.get_mut(&agent) else {
-      match self.reported_removed.get_mut(&agent) {
-        Some(removed_target) => removed_target.last_heard = Some(now),
+      match self.former.get_mut(&agent) {
+        Some(former) => former.last_heard = Some(now),
         None => {
           self.unlisted.insert(agent, now);
         }
@@ -425,20 +361,17 @@
     targets.collect()
   }
 
-  /// Discards reported targets that were removed from the target list longer ago than a flow lives,
-  /// and unlisted agents that have timed out.
+  /// Discards unlisted agents that have timed out.
   pub fn expire(&mut self, now: Instant) {
-    let (life, peer_timeout) = (self.tuning.flow_lifetime, self.tuning.peer_timeout);
+    let peer_timeout = self.tuning.peer_timeout;
     self
       .unlisted
       .retain(|_, heard| now.saturating_duration_since(*heard) < peer_timeout);
-    self
-      .reported_removed
-      .retain(|_, removed_target| now.saturating_duration_since(removed_target.removed) < life);
   }
 
-  /// Replaces the targets by those of the catalog; what is known of their load is kept.
-  pub fn update(&mut self, catalog: &Catalog) {
+  /// Replaces the targets by those of the catalog; what is known of their load and their agents is
+  /// kept.
+  pub fn update(&mut self, now: Instant, catalog: &Catalog) {
     let configuration = catalog.configuration();
     self.warmups =
       configuration.map_or_else(BTreeMap::new, |configuration| configuration.warmups.clone());
@@ -458,15 +391,7 @@
         *current = entry;
       }
     }
-    for (agent, removed_target) in &self.reported_removed {
-      let agents = self
-        .services
-        .entry(removed_target.service.clone())
-        .or_default();
-      if !agents.contains(agent) {
-        agents.push(*agent);
-      }
-    }
+    self.update_former(now, catalog);
     self
       .comparisons
       .retain(|service, _| self.services.contains_key(service));
@@ -484,14 +409,29 @@
     }
   }
 
+  /// Replaces the targets that this process never saw listed.
+  fn update_former(&mut self, now: Instant, catalog: &Catalog) {
+    let mut before = std::mem::take(&mut self.former);
+    for (instance, service, removed) in catalog.former_targets().all() {
+      let agent = SocketAddrV4::new(instance, self.port);
+      let agents = self.services.entry(service.clone()).or_default();
+      if !agents.contains(&agent) {
+        agents.push(agent);
+      }
+      let heard = self.unlisted.remove(&agent);
+      let former = before.remove(&agent).unwrap_or(FormerTarget {
+        removed,
+        last_heard: heard,
+        learnt: now,
+      });
+      let latest = self.former.entry(agent).or_insert(former);
+      latest.removed = latest.removed.max(removed);
+    }
+  }
+
   pub(super) fn is_alive(&self, now: Instant, target: &TargetState) -> bool {
     target
       .last_heard
       .is_some_and(|heard| now.saturating_duration_since(heard) < self.tuning.peer_timeout)
   }
 }
-
-/// The age of an event, in milliseconds.
-fn age_ms(now: Instant, at: Instant) -> u32 {
-  now.saturating_duration_since(at).as_millis() as u32
-}
--- a/src/datagram/balancer/testing.rs
+++ b/src/datagram/balancer/testing.rs
@@ -53,7 +53,7 @@
     // Cheap checks first: after a restart there is a search for each open flow.
     let is_uncertain = !agents.is_empty() && search.has_unanswered();
     let is_after_power_loss =
-      is_uncertain && search.is_majority_unsure() && self.is_history_lost(now);
+      is_uncertain && search.is_majority_unsure() && self.gossip.is_history_lost(now);
     if is_uncertain && !is_after_power_loss {
       let recent = |at: &Instant| now.saturating_duration_since(*at) < TEST_EVERY;
       let was_tested = self.last_tested.get(&flow).is_some_and(recent);
--- a/src/datagram/catalog.rs
+++ b/src/datagram/catalog.rs
@@ -1,24 +1,26 @@
 use {
   super::{
-    Configuration, Evacuations, FormerBackends, Record, Route, Service, Target, Update, Warmup,
-    changelog::Changelog, target,
+    Configuration, Evacuations, FormerBackends, FormerTargets, Record, Route, Service, Target,
+    Update, Warmup, changelog::Changelog, former_backends::Removed, frame::Tombstone, target,
   },
   crate::Revision,
   smallvec::SmallVec,
   std::{
     collections::{BTreeMap, BTreeSet, HashSet},
-    net::SocketAddrV4,
+    net::{Ipv4Addr, SocketAddrV4},
     sync::Arc,
     time::{Duration, Instant},
   },
 };
 
-/// How long a tombstone or former backend is kept; longer than their flows may live.
+/// How long a tombstone, former target or former backend is kept; longer than their flows may live.
 const TOMBSTONE_TTL: Duration = Duration::from_secs(75);
 
 /// A target, or the tombstone of one.
 #[derive(Clone, Debug)]
 pub struct Entry {
+  /// The revision of the earliest record of it that is known here.
+  pub first: Revision,
   /// When it was removed from the target list; none while it is listed.
   pub removed: Option<Instant>,
   /// The revision of the latest record of it.
@@ -38,6 +40,9 @@
   changelog: Changelog,
   configuration: Option<(Revision, Arc<Configuration>)>,
   former_backends: FormerBackends,
+  former_targets: FormerTargets,
+  /// The revisions between which changes were last missed here.
+  gap: Option<(Revision, Revision)>,
   /// Removals up to this revision may not be known here.
   removals_from: Revision,
   targets: BTreeMap<target::Id, Entry>,
@@ -50,6 +55,8 @@
   pub evacuations: bool,
   /// Whether another configuration is in force.
   pub configuration: bool,
+  /// Whether changes were missed that a flow may depend on.
+  pub has_gap: bool,
   /// The targets that were added, changed or removed.
   pub targets: Vec<target::Id>,
 }
@@ -57,7 +64,28 @@
 impl Change {
   /// Whether nothing changed.
   pub fn is_empty(&self) -> bool {
-    !self.evacuations && !self.configuration && self.targets.is_empty()
+    !self.evacuations && !self.configuration && !self.has_gap && self.targets.is_empty()
+  }
+}
+
+impl Entry {
+  /// The latest record of a target, for a receiver that is complete up to `after`.
+  fn record(&self, now: Instant, id: &target::Id, after: Revision) -> Record {
+    let (id, revision) = (id.clone(), self.revision);
+    match self.removed {
+      Some(removed) if self.first > after => Record::Removed {
+        id,
+        revision,
+        target: self.target.as_ref().clone(),
+        first: self.first,
+        age_ms: age_ms(now, removed),
+      },
+      removed => Record::Target {
+        id,
+        revision,
+        target: removed.is_none().then(|| self.target.as_ref().clone()),
+      },
+    }
   }
 }
 
@@ -80,6 +108,12 @@
       .map(|(_, configuration)| configuration)
   }
 
+  /// The revision of the configuration in force; 0 if there is none.
+  pub fn configured(&self) -> Revision {
+    let configuration = self.configuration.as_ref();
+    configuration.map_or(Revision::default(), |(revision, _)| *revision)
+  }
+
   /// All targets, including tombstones.
   pub fn entries(&self) -> impl Iterator<Item = (&target::Id, &Entry)> {
     self.targets.iter()
@@ -98,9 +132,10 @@
       .max_by_key(|(_, entry)| (entry.removed.is_none(), entry.revision))
   }
 
-  /// Drops expired tombstones and former backends.
+  /// Drops expired tombstones, former targets and former backends.
   pub fn expire(&mut self, now: Instant) {
     self.former_backends.expire(now, TOMBSTONE_TTL);
+    self.former_targets.expire(now, TOMBSTONE_TTL);
     let removals_from = &mut self.removals_from;
     self.targets.retain(|_, entry| {
       let kept = |removed| now.saturating_duration_since(removed) < TOMBSTONE_TTL;
@@ -122,13 +157,18 @@
     if self.synced == Revision::default() {
       self.removals_from = update.to;
     }
+    let is_contiguous = update.after.is_none_or(|after| after <= self.synced);
+    if update.has_gap && is_contiguous && update.to > self.synced {
+      self.gap = Some((self.synced, update.to));
+      change.has_gap = true;
+    }
     for record in update.records {
       self.apply(now, record, &mut change);
     }
     if let Some(listed) = listed {
       self.drop_unlisted(now, update.to, &listed, &mut change);
     }
-    if update.after.is_none_or(|after| after <= self.synced) {
+    if is_contiguous {
       self.synced = self.synced.max(update.to);
     }
     change
@@ -159,19 +199,61 @@
     &self.former_backends
   }
 
-  /// Imports a peer's record that an address was routed to a service until `at`; true if that was
-  /// not known.
-  pub fn import(&mut self, at: Instant, address: SocketAddrV4, service: &Service) -> bool {
-    let known = self.services(&address).contains(service);
-    if !known {
-      self.former_backends.record(address, service, at);
+  /// The targets that were removed before this process saw them listed.
+  pub fn former_targets(&self) -> &FormerTargets {
+    &self.former_targets
+  }
+
+  /// Imports a former backend that another process knows of, unless the address is still routed to
+  /// it.
+  pub fn import_backend(&mut self, address: SocketAddrV4, backend: Removed) {
+    let route = self.route(&address);
+    let is_present = route.is_some_and(|route| {
+      let mut services = route.backends.services();
+      services.any(|service| *service == backend.service)
+    });
+    if !is_present {
+      self.former_backends.record(address, backend);
     }
-    !known
   }
 
-  /// The update after a revision; a snapshot if removals since then may be unknown here.
-  pub fn since(&self, after: Revision) -> Update {
-    let snapshot = after < self.removals_from;
+  /// Imports a target that was removed from the target list; true if it was not known here, listed
+  /// or removed.
+  pub fn import_target(&mut self, instance: Ipv4Addr, service: &Service, at: Instant) -> bool {
+    let is_known = self
+      .targets
+      .values()
+      .any(|entry| *entry.target.address.ip() == instance && entry.target.service == *service);
+    !is_known && self.former_targets.record(instance, service, at)
+  }
+
+  /// The targets that were removed within the lifetime of a flow.
+  pub fn tombstones(&self, now: Instant) -> Vec<Tombstone> {
+    let removed = self.targets.values().filter_map(|entry| {
+      Some(Tombstone {
+        address: entry.target.address,
+        age_ms: age_ms(now, entry.removed?),
+        service: entry.target.service.clone(),
+      })
+    });
+    let former = self.former_targets.all();
+    let former = former.map(|(instance, service, at)| Tombstone {
+      // Only the instance counts.
+      address: SocketAddrV4::new(instance, 0),
+      age_ms: age_ms(now, at),
+      service: service.clone(),
+    });
+    removed.chain(former).collect()
+  }
+
+  /// The update after a revision; a snapshot if the receiver may know something that was removed
+  /// without this process knowing. It includes what the receiver may have missed of the changes since
+  /// then: removed targets and former backends.
+  pub fn since(&self, now: Instant, after: Revision) -> Update {
+    let is_in_gap = self
+      .gap
+      .is_some_and(|(from, to)| from < after && after < to);
+    let snapshot = after < self.removals_from || is_in_gap;
     let oldest = if snapshot { Revision::default() } else { after };
     let configuration = self.configuration.iter();
     let configuration = configuration.filter(|(revision, _)| *revision > oldest);
@@ -180,21 +262,30 @@
     let evacuations = self.evacuations.since(oldest);
     let targets = self.targets.iter();
     let targets = targets.filter(|(_, entry)| entry.revision > oldest);
-    let targets = targets.map(|(id, entry)| Record::Target {
-      id: id.clone(),
-      revision: entry.revision,
-      target: entry
-        .removed
-        .is_none()
-        .then(|| entry.target.as_ref().clone()),
-    });
+    let targets = targets.map(|(id, entry)| entry.record(now, id, oldest));
+    let records = evacuations.chain(configuration).chain(targets);
     Update {
       after: (!snapshot).then_some(after),
-      records: evacuations.chain(configuration).chain(targets).collect(),
+      has_gap: self.gap.is_some_and(|(_, to)| after < to),
+      records: records.chain(self.former(now, oldest)).collect(),
       to: self.synced,
     }
   }
 
+  /// The former backends and targets that a receiver which is complete up to `after` may not know.
+  fn former(&self, now: Instant, after: Revision) -> impl Iterator<Item = Record> {
+    let backends = self.former_backends.all();
+    let backends = backends.filter(move |(address, removed)| {
+      self.route(address).is_some() && (after == Revision::default() || removed.last > after)
+    });
+    backends.map(move |(address, removed)| Record::FormerBackend {
+      address,
+      age_ms: age_ms(now, removed.at),
+      revision: removed.last,
+      service: removed.service.clone(),
+    })
+  }
+
   /// The warm-up of a service's targets; none if not configured.
   pub fn warmup(&self, service: &Service) -> Option<Warmup> {
     self.configuration()?.warmups.get(service).copied()
@@ -221,6 +312,19 @@
       } => {
         change.configuration |= self.configure(now, configuration, revision);
       }
+      Record::FormerBackend {
+        address,
+        revision,
+        service,
+        age_ms,
+      } => {
+        let removed = Removed {
+          at: before(now, age_ms),
+          last: revision,
+          service,
+        };
+        self.import_backend(address, removed);
+      }
       Record::Delta {
         delta,
         after,
@@ -239,6 +343,25 @@
         revision,
         target,
       } => self.apply_target(now, id, revision, target, change),
+      Record::Removed {
+        id,
+        revision,
+        target,
+        first,
+        age_ms,
+      } => {
+        if self.targets.contains_key(&id) {
+          return self.apply_target(now, id, revision, None, change);
+        }
+        let entry = Entry {
+          first,
+          removed: Some(before(now, age_ms)),
+          revision,
+          target: Arc::new(target),
+        };
+        self.targets.insert(id.clone(), entry);
+        change.targets.push(id);
+      }
     }
   }
 
@@ -250,8 +373,9 @@
       {
         return false;
       }
-      Some((_, before)) => {
+      Some((last, before)) => {
         self.changelog.replace(before, &configuration, revision);
+        let before = (before.as_ref(), *last);
         self.former_backends.replace(now, before, &configuration);
       }
       None => self.changelog.begin(revision),
@@ -282,11 +406,13 @@
     }
     let entry = match (target, known) {
       (Some(target), _) => Entry {
+        first: known.map_or(revision, |entry| entry.first),
         removed: None,
         revision,
         target: Arc::new(target),
       },
       (None, Some(entry)) => Entry {
+        first: entry.first,
         removed: Some(entry.removed.unwrap_or(now)),
         revision,
         target: Arc::clone(&entry.target),
@@ -325,8 +451,8 @@
         Record::Evacuation { data_centre, .. } => {
           listed.closed.insert(data_centre.clone());
         }
-        Record::Delta { .. } | Record::Configuration { .. } => {}
-        Record::Target { id, .. } => {
+        Record::Configuration { .. } | Record::Delta { .. } | Record::FormerBackend { .. } => {}
+        Record::Removed { id, .. } | Record::Target { id, .. } => {
           listed.targets.insert(id.clone());
         }
       }
@@ -334,3 +460,15 @@
     listed
   }
 }
+
+/// The age of an event, in milliseconds.
+fn age_ms(now: Instant, at: Instant) -> u32 {
+  now.saturating_duration_since(at).as_millis() as u32
+}
+
+/// The time `age_ms` milliseconds ago.
+fn before(now: Instant, age_ms: u32) -> Instant {
+  now
+    .checked_sub(Duration::from_millis(age_ms.into()))
+    .unwrap_or(now)
+}
--- a/src/datagram/former_backends.rs
+++ b/src/datagram/former_backends.rs
@@ -1,5 +1,6 @@
 use {
   super::{Configuration, Service},
+  crate::Revision,
   std::{
     collections::BTreeMap,
     net::SocketAddrV4,
@@ -9,9 +10,13 @@
 
 /// A service that an address was routed to.
 #[derive(Clone, Debug, Eq, PartialEq)]
-struct Removed {
-  at: Instant,
-  service: Service,
+pub struct Removed {
+  /// When the address was last routed to it.
+  pub at: Instant,
+  /// The revision of the last configuration that routed the address to it.
+  pub last: Revision,
+  /// The service.
+  pub service: Service,
 }
 
 /// The services that addresses were routed to within a flow's lifetime, besides their present ones.
@@ -22,14 +27,10 @@
 }
 
 impl FormerBackends {
-  /// All former backends: the address, the service, and when the address was last routed to it.
-  pub fn all(&self) -> impl Iterator<Item = (SocketAddrV4, &Service, Instant)> {
+  /// All former backends with their addresses.
+  pub fn all(&self) -> impl Iterator<Item = (SocketAddrV4, &Removed)> {
     let addresses = self.by_address.iter();
-    addresses.flat_map(|(address, removed)| {
-      removed
-        .iter()
-        .map(|removed| (*address, &removed.service, removed.at))
-    })
+    addresses.flat_map(|(address, removed)| removed.iter().map(|removed| (*address, removed)))
   }
 
   /// Drops the backends that were removed longer than `life` ago.
@@ -40,18 +41,18 @@
     });
   }
 
-  /// Records that an address was routed to a service until `at`.
-  pub fn record(&mut self, address: SocketAddrV4, service: &Service, at: Instant) {
+  /// Records a former backend of an address.
+  pub fn record(&mut self, address: SocketAddrV4, backend: Removed) {
     let removed = self.by_address.entry(address).or_default();
     match removed
       .iter_mut()
-      .find(|removed| removed.service == *service)
+      .find(|removed| removed.service == backend.service)
     {
-      Some(known) => known.at = known.at.max(at),
-      None => removed.push(Removed {
-        at,
-        service: service.clone(),
-      }),
+      Some(known) => {
+        known.at = known.at.max(backend.at);
+        known.last = known.last.max(backend.last);
+      }
+      None => removed.push(backend),
     }
   }
 
@@ -61,14 +62,25 @@
     removed.map(|removed| &removed.service)
   }
 
-  /// Records the backends that are in `before` and no longer in `after`.
-  pub fn replace(&mut self, now: Instant, before: &Configuration, after: &Configuration) {
+  /// Records the backends that are in `before`, the configuration of revision `last`, and no longer
+  /// in `after`.
+  pub fn replace(
+    &mut self,
+    now: Instant,
+    (before, last): (&Configuration, Revision),
+    after: &Configuration,
+  ) {
     for (address, route) in &before.routes {
       let next = after.routes.get(address);
       for service in route.backends.services() {
         let kept = next.is_some_and(|next| next.backends.services().any(|other| other == service));
         if !kept {
-          self.record(*address, service, now);
+          let removed = Removed {
+            at: now,
+            last,
+            service: service.clone(),
+          };
+          self.record(*address, removed);
         }
       }
     }
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -6,7 +6,7 @@
 };
 
 /// The first byte of a frame: the version of its layout.
-const VERSION: u8 = 0xd5;
+const VERSION: u8 = 0xd6;
 
 /// The largest update that is pushed as a frame, in bytes: it fits in a datagram of 1,500 bytes.
 pub const UPDATE_MAX: usize = 1200;
@@ -109,6 +109,23 @@
   pub service: Service,
 }
 
+/// A part of what a process remembers of earlier changes.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct History {
+  /// The former backends.
+  pub former_backends: Vec<FormerBackend>,
+  /// Whether the sender knows all changes within a flow's lifetime.
+  pub known: bool,
+  /// The number of this part, from 0.
+  pub part: u16,
+  /// The number of parts; 1 even if the sender knows nothing.
+  pub parts: u16,
+  /// The revision up to which the sender's catalog is complete.
+  pub synced: Revision,
+  /// The tombstones.
+  pub tombstones: Vec<Tombstone>,
+}
+
 /// Why an agent refused to open a flow.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Refusal {
@@ -246,21 +263,10 @@
     /// The number of parts of the whole table; 0 if the sender doesn't have all of it.
     parts: u16,
   },
-  /// A balancer that has started requests tombstones and former backends from a peer.
+  /// A process that has started, or has missed changes, requests tombstones and former backends.
   HistoryRequest,
   /// Tombstones and former backends, in response.
-  History {
-    /// Whether the sender knows all removals within a flow's lifetime.
-    known: bool,
-    /// The former backends.
-    former_backends: Vec<FormerBackend>,
-    /// The number of this part, from 0.
-    part: u16,
-    /// The number of parts; 1 even if the sender knows nothing.
-    parts: u16,
-    /// The tombstones.
-    tombstones: Vec<Tombstone>,
-  },
+  History(History),
   /// A test with a caller's packet, which follows, at several agents: the receiver, which is one of
   /// them, forwards it to the others.
   FanOut {
--- a/src/datagram/gossip.rs
+++ b/src/datagram/gossip.rs
@@ -1,14 +1,16 @@
+mod history;
 mod overlay;
 mod peer;
 mod reading;
+mod remembering;
 mod sending;
 
 use {
-  self::{overlay::Overlay, peer::Peer},
+  self::{history::History, overlay::Overlay, peer::Peer},
   super::{
     Catalog, Change, Outbox, Rate, Settings, Tuning, Update,
     event::Origin,
-    frame::{FormerBackend, Role, Status},
+    frame::{Role, Status},
   },
   crate::Revision,
   serde_json::json,
@@ -61,6 +63,7 @@
   /// Whether this process is a balancer.
   balancer: bool,
   data_centre: u32,
+  history: History,
   /// When agents in other data centres are sent the next status.
   next_remote_agents: Instant,
   /// Until when this process waits for an update from a peer before it reads the platform itself.
@@ -104,6 +107,7 @@
       evacuation_left: Duration::ZERO,
       confirmed: None,
       data_centre: digest(&settings.data_centre),
+      history: History::new(now, settings.first_start),
       next_remote_agents: now,
       read_after: now + reading::read_delay(settings),
       incarnation,
@@ -170,6 +174,7 @@
   /// long.
   pub fn expire(&mut self, now: Instant) {
     self.catalog.expire(now);
+    self.history.expire(now, self.tuning.flow_lifetime);
     self.peers.retain(|_, peer| {
       let last = peer.last_heard.unwrap_or(peer.known_since);
       now.saturating_duration_since(last) < PEER_TTL
@@ -222,6 +227,10 @@
     let age = self.confirmed(now);
     let missing = update.after.is_some_and(|from| from > after);
     let change = self.catalog.apply_update(now, update);
+    if change.has_gap {
+      let is_first = after == Revision::default();
+      self.history.record_gap(now, is_first, to);
+    }
     if origin == Origin::Platform {
       self.confirmed = Some(now);
       // The status carries the confirmation to peers; without it, they read the platform
@@ -237,7 +246,8 @@
       self.changes += 1;
       log::info!(
         version:% = self.catalog.version(), revision:% = self.catalog.synced(),
-        origin:? = origin, targets = change.targets.len(), configuration = change.configuration;
+        origin:? = origin, targets = change.targets.len(), configuration = change.configuration,
+        has_gap = change.has_gap;
         "spread: update is applied."
       );
     }
@@ -249,28 +259,10 @@
     if origin == Origin::Platform && self.catalog.synced() > after {
       self.push(now, after, out);
     }
-    change
-  }
-
-  /// The services that addresses were routed to before, for a peer that has started.
-  pub fn former_backends(&self, now: Instant) -> Vec<FormerBackend> {
-    let all = self.catalog.former_backends().all();
-    let routed = all.filter(|(address, ..)| self.catalog.route(address).is_some());
-    let former_backends = routed.map(|(address, service, at)| FormerBackend {
-      address,
-      age_ms: now.saturating_duration_since(at).as_millis() as u32,
-      service: service.clone(),
-    });
-    former_backends.collect()
-  }
-
-  /// Imports the former backends that a peer knows of.
-  pub fn import(&mut self, now: Instant, former_backends: &[FormerBackend]) {
-    for backend in former_backends {
-      let at = now.checked_sub(Duration::from_millis(backend.age_ms.into()));
-      let at = at.unwrap_or(now);
-      self.catalog.import(at, backend.address, &backend.service);
+    if change.has_gap {
+      self.request_all_history(now, out);
     }
+    change
   }
 
   /// Handles the status of another process.
@@ -331,6 +323,7 @@
       "closed": self.catalog.evacuations().closed().collect::<Vec<_>>(),
       "complete": self.catalog.synced(),
       "confirmed_ms": self.confirmed.map(age),
+      "history_known": self.history.is_known(),
       "incarnation": self.incarnation,
       "peers": peers.collect::<Vec<_>>(),
       "reader": self.is_reader(now),
--- a/src/datagram/gossip/sending.rs
+++ b/src/datagram/gossip/sending.rs
@@ -121,7 +121,7 @@
   /// Pushes the records after a revision to all peers. An update that is too large for a frame is
   /// announced by a status, after which they pull it.
   pub(super) fn push(&mut self, now: Instant, after: Revision, out: &mut Outbox) {
-    let update = Frame::Update(self.catalog.since(after));
+    let update = Frame::Update(self.catalog.since(now, after));
     let mut encoded = Vec::new();
     update.encode(&mut encoded);
     let frame = if encoded.len() <= UPDATE_MAX {
@@ -139,7 +139,7 @@
   }
 
   /// The agents of all listed targets, including those outside the overlay.
-  fn listed_agents(&self) -> impl Iterator<Item = SocketAddrV4> {
+  pub(super) fn listed_agents(&self) -> impl Iterator<Item = SocketAddrV4> {
     let listed = self.catalog.entries();
     let listed = listed.filter(|(_, entry)| entry.removed.is_none());
     listed.map(|(_, entry)| SocketAddrV4::new(*entry.target.address.ip(), self.address.port()))
--- a/src/datagram/node/control.rs
+++ b/src/datagram/node/control.rs
@@ -96,7 +96,7 @@
   let mut reading = shared.reading.subscribe();
   let mut back_off = BACK_OFF_MIN;
   let mut failing_since: Option<Instant> = None;
-  let mut snapshot_due = true;
+  let mut snapshot_due = false;
   loop {
     if reading.wait_for(|reading| reading.wanted).await.is_err() {
       return;
@@ -264,7 +264,7 @@
   let Some(after) = after.and_then(|after| after.parse().ok()) else {
     return web::answer(StatusCode::BAD_REQUEST, "expected `after`, a revision");
   };
-  match postcard::to_allocvec(&context.shared.catalog().since(after)) {
+  match postcard::to_allocvec(&context.shared.catalog().since(Instant::now(), after)) {
     Ok(body) if !context.allowance.admits(Instant::now(), body.len()) => {
       web::answer(StatusCode::SERVICE_UNAVAILABLE, "ask another")
     }
--- a/src/datagram/record.rs
+++ b/src/datagram/record.rs
@@ -75,6 +75,31 @@
     /// Its description; none once it is removed from the target list.
     target: Option<Target>,
   },
+  // Variants are encoded by their position: new ones are appended.
+  /// A removed target that the receiver may never have seen in the target list.
+  Removed {
+    /// Its name.
+    id: target::Id,
+    /// The platform's revision.
+    revision: Revision,
+    /// Its last description.
+    target: Target,
+    /// The revision of the earliest record of it that the sender knows.
+    first: Revision,
+    /// How long ago it was removed, in milliseconds.
+    age_ms: u32,
+  },
+  /// A service that an address was routed to by a configuration which the receiver may have missed.
+  FormerBackend {
+    /// The address of the route.
+    address: SocketAddrV4,
+    /// The revision of the last configuration that had it.
+    revision: Revision,
+    /// The service.
+    service: Service,
+    /// How long ago the address was last routed to it, in milliseconds.
+    age_ms: u32,
+  },
 }
 
 impl Record {
@@ -84,6 +109,8 @@
       Self::Delta { revision, .. }
       | Self::Evacuation { revision, .. }
       | Self::Configuration { revision, .. }
+      | Self::FormerBackend { revision, .. }
+      | Self::Removed { revision, .. }
       | Self::Target { revision, .. } => *revision,
     }
   }
@@ -94,6 +121,9 @@
 pub struct Update {
   /// The revision up to which the receiver must be complete; none for a snapshot.
   pub after: Option<Revision>,
+  /// Whether changes up to `to` may be missing that are undone by then: a target that was added and
+  /// removed, or a service that an address was routed to in between.
+  pub has_gap: bool,
   /// The records.
   pub records: Vec<Record>,
   /// The revision up to which the receiver is complete afterwards.
--- a/tests/datagram/balancing.rs
+++ b/tests/datagram/balancing.rs
@@ -10,7 +10,7 @@
     config::Presence,
     datagram::{
       Flow, Frame, Load, Rate, balancer,
-      frame::{Handling, Known, Role, Status},
+      frame::{Handling, History, Known, Role, Status},
     },
   },
   std::time::Duration,
@@ -19,7 +19,8 @@
 /// A balancer whose clock and input the test controls.
 pub type Balancer = Harness<balancer::Machine<Plain>>;
 
-/// A balancer with two targets of service `a` and one of service `b`.
+/// A balancer with two targets of service `a` and one of service `b`. Their agents do not know the
+/// history either.
 pub fn balancer() -> Balancer {
   balancer_with(None)
 }
@@ -37,6 +38,7 @@
   balancer.platform(update(None, 4, &records));
   for host in [11, 12, 21] {
     feed_status(&mut balancer, host, 1, Load::default());
+    balancer.frame(host, &history(false), &[]);
   }
   balancer
 }
@@ -56,9 +58,20 @@
   balancer.frame(host, &status, &[])
 }
 
-/// Feeds the status of another balancer.
-pub fn feed_balancer_status(balancer: &mut Balancer, host: u8) -> Vec<Sent> {
-  let status = Status {
+/// An empty history of a process whose catalog is complete up to revision 4; `known` if it knows all
+/// changes within a flow's lifetime.
+pub fn history(known: bool) -> Frame {
+  Frame::History(History {
+    known,
+    parts: 1,
+    synced: Revision(4),
+    ..History::default()
+  })
+}
+
+/// The status of a balancer whose catalog is complete up to revision 4.
+pub fn balancer_status() -> Status {
+  Status {
     balancers: vec![],
     synced: Revision(4),
     confirmed_ms: Some(10),
@@ -67,8 +80,12 @@
     link: 0,
     role: Role::Balancer,
     stopping: false,
-  };
-  balancer.frame(host, &Frame::Status(status), &[])
+  }
+}
+
+/// Feeds the status of another balancer.
+pub fn feed_balancer_status(balancer: &mut Balancer, host: u8) -> Vec<Sent> {
+  balancer.frame(host, &Frame::Status(balancer_status()), &[])
 }
 
 /// The hosts that packets were sent to, and what each is to do with its packet.
--- a/tests/datagram/catalog.rs
+++ b/tests/datagram/catalog.rs
@@ -85,9 +85,9 @@
     configured(4, 7, &[(1, "a")]),
   ];
   first.apply_update(now, update(None, 5, &records));
-  second.apply_update(now, first.since(Revision(0)));
+  second.apply_update(now, first.since(now, Revision(0)));
   first.apply_update(now, update(Some(5), 6, &[unlisted(6, "one")]));
-  second.apply_update(now, first.since(second.synced()));
+  second.apply_update(now, first.since(now, second.synced()));
   assert_eq!(second.synced(), Revision(6));
   assert_eq!(second.version(), Version(7));
   let (_, entry) = second.entries().next().expect("entry");
@@ -103,7 +103,7 @@
   // It was removed from the target list before the second process started.
   let mut second = Catalog::default();
   second.apply_update(now, update(None, 6, &[]));
-  first.apply_update(now, second.since(first.synced()));
+  first.apply_update(now, second.since(now, first.synced()));
   let (_, entry) = first.entries().next().expect("entry");
   assert!(entry.removed.is_some());
 }
@@ -117,7 +117,7 @@
   let mut second = first.clone();
   second.apply_update(now, update(Some(5), 6, &[unlisted(6, "one")]));
   second.expire(now + Duration::from_mins(5));
-  first.apply_update(now, second.since(first.synced()));
+  first.apply_update(now, second.since(now, first.synced()));
   let (_, entry) = first.entries().next().expect("entry");
   assert!(entry.removed.is_some());
 }
--- a/tests/datagram/delta.rs
+++ b/tests/datagram/delta.rs
@@ -43,7 +43,7 @@
   changed[9].1 = "b";
   changed.remove(0);
   let sender = catalog(&[(5, 1, routes(200)), (6, 2, changed.clone())]);
-  let update = sender.since(Revision(5));
+  let update = sender.since(Instant::now(), Revision(5));
   assert_matches!(
     &update.records[..],
     [Record::Delta { delta, .. }] if delta.routes.len() == 2
@@ -64,7 +64,10 @@
   ]);
   for (known, first) in [(5, (5, 1, routes(10))), (6, (6, 2, second))] {
     let mut other = catalog(&[first]);
-    other.apply_update(Instant::now(), sender.since(Revision(known)));
+    other.apply_update(
+      Instant::now(),
+      sender.since(Instant::now(), Revision(known)),
+    );
     assert_eq!(in_force(&other), configuration(3, &third));
     assert_eq!(other.synced(), Revision(7));
   }
@@ -75,16 +78,16 @@
   let second = [routes(10), vec![(20, "b")]].concat();
   let sender = catalog(&[(5, 1, routes(10)), (6, 2, second.clone())]);
   let mut between = catalog(&[(5, 1, routes(10))]);
-  between.apply_update(Instant::now(), sender.since(Revision(5)));
+  between.apply_update(Instant::now(), sender.since(Instant::now(), Revision(5)));
   let mut last = catalog(&[(5, 1, routes(10))]);
-  last.apply_update(Instant::now(), between.since(Revision(5)));
+  last.apply_update(Instant::now(), between.since(Instant::now(), Revision(5)));
   assert_eq!(in_force(&last), configuration(2, &second));
 }
 
 #[test]
 fn a_receiver_older_than_the_senders_history_gets_the_whole_configuration() {
   let sender = catalog(&[(5, 1, routes(10)), (6, 2, routes(9))]);
-  let update = sender.since(Revision(4));
+  let update = sender.since(Instant::now(), Revision(4));
   assert!(matches!(update.records[..], [Record::Configuration { .. }]));
 }
 
@@ -92,7 +95,7 @@
 fn a_difference_from_an_unknown_configuration_is_ignored() {
   let sender = catalog(&[(5, 1, routes(10)), (6, 2, routes(9)), (7, 3, routes(8))]);
   let mut behind = catalog(&[(5, 1, routes(10))]);
-  let change = behind.apply_update(Instant::now(), sender.since(Revision(6)));
+  let change = behind.apply_update(Instant::now(), sender.since(Instant::now(), Revision(6)));
   assert!(!change.configuration);
   assert_eq!(in_force(&behind), configuration(1, &routes(10)));
   assert_eq!(behind.synced(), Revision(5));
@@ -101,7 +104,7 @@
 #[test]
 fn an_older_difference_is_ignored() {
   let sender = catalog(&[(5, 1, routes(10)), (6, 2, routes(9))]);
-  let older = sender.since(Revision(5));
+  let older = sender.since(Instant::now(), Revision(5));
   let mut ahead = catalog(&[(5, 1, routes(10)), (7, 3, routes(3))]);
   assert!(!ahead.apply_update(Instant::now(), older).configuration);
   assert_eq!(in_force(&ahead), configuration(3, &routes(3)));
@@ -125,7 +128,10 @@
   let last = configuration(200, &steps[199].2);
   for known in 0..199 {
     let mut other = catalog(&steps[..=known]);
-    other.apply_update(Instant::now(), sender.since(Revision(known as u64 + 1)));
+    other.apply_update(
+      Instant::now(),
+      sender.since(Instant::now(), Revision(known as u64 + 1)),
+    );
     assert_eq!(in_force(&other), last, "from {known}");
   }
 }
--- a/tests/datagram/denials.rs
+++ b/tests/datagram/denials.rs
@@ -14,10 +14,11 @@
   },
   assert_matches::assert_matches,
   fallwell::{
+    Revision,
     config::Presence,
     datagram::{
       Frame, Load, Record,
-      frame::{FormerBackend, Handling},
+      frame::{FormerBackend, Handling, History},
     },
   },
   std::time::Duration,
@@ -60,7 +61,7 @@
 
 /// The history of a balancer that remembers the route to service `b`.
 fn history() -> Frame {
-  Frame::History {
+  Frame::History(History {
     known: true,
     former_backends: vec![FormerBackend {
       address: route(1),
@@ -69,8 +70,9 @@
     }],
     part: 0,
     parts: 1,
+    synced: Revision(4),
     tombstones: vec![],
-  }
+  })
 }
 
 /// Passes the queries among `sent` to the owner, and its answers back.
@@ -165,7 +167,7 @@
 /// The query of a balancer that knows only service `a` on the route of `flow(1, 1)`.
 fn query_of_a() -> Frame {
   Frame::Query {
-    synced: fallwell::Revision(4),
+    synced: Revision(4),
     flows: vec![(flow(1, 1), 100)],
     services: vec![digest("a")],
   }
--- a/tests/datagram/evacuations.rs
+++ b/tests/datagram/evacuations.rs
@@ -89,7 +89,10 @@
   let records = [evacuation(5, LOCAL, true), evacuation(6, REMOTE, false)];
   apply(&mut sender, update(Some(0), 6, &records));
   let mut started = Catalog::default();
-  apply(&mut started, sender.since(Revision::default()));
+  apply(
+    &mut started,
+    sender.since(Instant::now(), Revision::default()),
+  );
   assert!(is_closed(&started));
   // A data centre that was opened while a process was down.
   let mut restarted = Catalog::default();
@@ -97,7 +100,7 @@
     &mut restarted,
     update(Some(0), 4, &[evacuation(4, REMOTE, true)]),
   );
-  apply(&mut restarted, sender.since(Revision(4)));
+  apply(&mut restarted, sender.since(Instant::now(), Revision(4)));
   assert!(!restarted.evacuations().is_closed(REMOTE));
 }
 
--- a/tests/datagram/main.rs
+++ b/tests/datagram/main.rs
@@ -16,6 +16,7 @@
 mod frame;
 mod gossip;
 mod grants;
+mod history;
 mod link;
 mod logs;
 mod observing;
--- a/tests/datagram/overlay.rs
+++ b/tests/datagram/overlay.rs
@@ -10,7 +10,7 @@
     config::Presence,
     datagram::{
       Event, Frame, Load, Machine, Origin, Outbox, Record, Settings, Tuning, balancer,
-      frame::{Role, Status},
+      frame::{History, Role, Status},
     },
   },
   std::{
@@ -199,13 +199,14 @@
     }
   }
   // A peer knows all removals.
-  let history = Frame::History {
+  let history = Frame::History(History {
     known: true,
     former_backends: vec![],
     part: 0,
     parts: 1,
+    synced: Revision(6),
     tombstones: vec![],
-  };
+  });
   let mut bytes = Vec::new();
   history.encode(&mut bytes);
   let from = address(1);
--- a/tests/datagram/remembering.rs
+++ b/tests/datagram/remembering.rs
@@ -14,7 +14,7 @@
     Revision,
     datagram::{
       Frame, Load,
-      frame::{Handling, Known, Tombstone},
+      frame::{Handling, History, Known, Tombstone},
     },
   },
   std::time::Duration,
@@ -39,13 +39,14 @@
   balancer.frame(11, &absent(4), &[]);
   let sent = balancer.frame(12, &absent(4), &[]);
   assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
-  let history = Frame::History {
+  let history = Frame::History(History {
     known: true,
     former_backends: vec![],
     part: 0,
     parts: 1,
+    synced: Revision(4),
     tombstones: vec![tombstone(13)],
-  };
+  });
   balancer.frame(2, &history, &[]);
   // The repeated queries include the removed target.
   let mut repeated = Vec::new();
@@ -62,13 +63,14 @@
   let mut balancer = balancer();
   feed_balancer_status(&mut balancer, 2);
   feed_balancer_status(&mut balancer, 3);
-  let empty_history = Frame::History {
+  let empty_history = Frame::History(History {
     known: false,
     former_backends: vec![],
     part: 0,
     parts: 1,
+    synced: Revision(4),
     tombstones: vec![],
-  };
+  });
   search(&mut balancer);
   balancer.frame(2, &empty_history, &[]);
   balancer.frame(11, &absent(4), &[]);
@@ -85,7 +87,7 @@
   let sent = balancer.frame(2, &Frame::HistoryRequest, &[]);
   assert_matches!(
     &sent[..],
-    [Sent::Frame(to, Frame::History { known: false, part: 0, parts: 1, tombstones, .. }, _)]
+    [Sent::Frame(to, Frame::History(History { known: false, part: 0, parts: 1, tombstones, .. }), _)]
       if *to == peer(2) && tombstones[0].address == upstream(12)
   );
 }
--- a/tests/datagram/searching.rs
+++ b/tests/datagram/searching.rs
@@ -3,7 +3,9 @@
 
 use {
   crate::{
-    balancing::{Balancer, absent, balancer, carried, feed_status, is_reset, queried, search},
+    balancing::{
+      Balancer, absent, balancer, carried, feed_status, history, is_reset, queried, search,
+    },
     plain::Packet,
     support::{
       Harness, Sent, configured, elsewhere, flow, found, listed, peer, unlisted, unsure, update,
@@ -182,6 +184,10 @@
     elsewhere(6, "up-14", 14, "a"),
   ];
   balancer.platform(update(Some(4), 6, &remote));
+  for host in [13, 14] {
+    feed_status(&mut balancer, host, 1, Load::default());
+    balancer.frame(host, &history(false), &[]);
+  }
   assert_eq!(search(&mut balancer), [11, 12]);
   balancer.frame(11, &absent(6), &[]);
   assert!(queried(&balancer.pass(Duration::ZERO)).is_empty());
--- a/tests/datagram/support.rs
+++ b/tests/datagram/support.rs
@@ -205,10 +205,12 @@
   }
 }
 
-/// An update with records; a snapshot without `after`.
+/// An update with records, as read from the platform; a snapshot without `after`, which does not
+/// tell what changed before.
 pub fn update(after: Option<u64>, to: u64, records: &[Record]) -> Update {
   Update {
     after: after.map(Revision),
+    has_gap: after.is_none(),
     records: records.to_vec(),
     to: Revision(to),
   }
--- a/tests/datagram/weights.rs
+++ b/tests/datagram/weights.rs
@@ -18,7 +18,7 @@
     Revision,
     datagram::{
       Backends, Flow, Frame, Load, Record, Service,
-      frame::{FormerBackend, Handling, Refusal},
+      frame::{FormerBackend, Handling, History, Refusal},
     },
   },
   std::{collections::BTreeMap, net::SocketAddrV4, time::Duration},
@@ -269,7 +269,7 @@
     let sent = balancer.frame(host, &absent(4), &[]);
     assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
   }
-  let history = Frame::History {
+  let history = Frame::History(History {
     known: true,
     former_backends: vec![FormerBackend {
       address: crate::support::route(1),
@@ -278,8 +278,9 @@
     }],
     part: 0,
     parts: 1,
+    synced: Revision(4),
     tombstones: vec![],
-  };
+  });
   let sent = balancer.frame(2, &history, &[]);
   assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
   let mut repeated = Vec::new();
@@ -299,7 +300,7 @@
   let sent = balancer.frame(2, &Frame::HistoryRequest, &[]);
   assert_matches!(
     &sent[..],
-    [Sent::Frame(to, Frame::History { former_backends, .. }, _)]
+    [Sent::Frame(to, Frame::History(History { former_backends, .. }), _)]
       if *to == peer(2) && former_backends.len() == 1 && former_backends[0].address == crate::support::route(1)
   );
 }
--- a/tests/datagram/world.rs
+++ b/tests/datagram/world.rs
@@ -112,6 +112,8 @@
   pub served: usize,
   /// The time between `Event::Stop` and `Event::End` of a process, in milliseconds.
   shutdown_ms: u64,
+  /// The hosts that exchange nothing with other processes and the store.
+  isolated: BTreeSet<u8>,
   items: HashMap<u64, Item>,
   last_fault: u64,
   loss: f64,
@@ -123,7 +125,12 @@
   out: Outbox,
   port: u16,
   queue: BinaryHeap<Reverse<(u64, u64)>>,
+  /// The latest record of each item of the store.
   records: BTreeMap<String, Record>,
+  /// All records of the store in the order of their revisions.
+  history: Vec<Record>,
+  /// The revision up to which the store has forgotten its history.
+  forgotten: u64,
   /// The fraction of frames that are delivered a second time, late.
   duplicated: f64,
   revision: u64,
@@ -180,6 +187,7 @@
       reset: 0,
       served: 0,
       shutdown_ms,
+      isolated: BTreeSet::new(),
       items: HashMap::new(),
       last_fault: 0,
       loss: 0.0,
@@ -191,6 +199,8 @@
       port: 1024,
       queue: BinaryHeap::new(),
       records: BTreeMap::new(),
+      history: Vec::new(),
+      forgotten: 0,
       duplicated: 0.0,
       revision: 0,
       rng: SmallRng::seed_from_u64(seed),
@@ -289,7 +299,7 @@
     let revision = self.next_revision();
     let mut record = listed(revision, &id, host, service, Presence::Live);
     self.set_location_and_warmup(host, &mut record);
-    self.records.insert(id, record);
+    self.write(id, record);
   }
 
   /// Crashes an upstream; with its agent if `both`. The target stays listed until `unlist`.
@@ -315,7 +325,7 @@
     let revision = self.next_revision();
     let mut record = listed(revision, &id, host, service, Presence::Leaving);
     self.set_location_and_warmup(host, &mut record);
-    self.records.insert(id, record);
+    self.write(id, record);
   }
 
   /// Removes a target from the target list.
@@ -325,7 +335,7 @@
     };
     let id = String::from(upstream.id.clone());
     let revision = self.next_revision();
-    self.records.insert(id.clone(), unlisted(revision, &id));
+    self.write(id.clone(), unlisted(revision, &id));
   }
 
   /// Kills a process.
@@ -349,14 +359,14 @@
     let revision = self.set_routes(&shares.collect::<Vec<_>>());
     let record = configured(revision, self.version, routes);
     let record = self.with_warmup(routes, revision, record);
-    self.records.insert("configuration".into(), record);
+    self.write("configuration".into(), record);
   }
 
   /// Stores a configuration whose routes have services by weight.
   pub fn configure_weighted(&mut self, routes: &[(u8, Vec<(&'static str, u32)>)]) {
     let revision = self.set_routes(routes);
     let record = configured_weighted(revision, self.version, routes);
-    self.records.insert("configuration".into(), record);
+    self.write("configuration".into(), record);
   }
 
   /// Records the services of all routes from now on; returns the revision of the configuration.
@@ -430,6 +440,21 @@
     self.processing_ms = ms;
   }
 
+  /// Lets the store forget its history: who is behind can only read the present items.
+  pub fn forget_history(&mut self) {
+    self.forgotten = self.revision;
+  }
+
+  /// Cuts a process off from all others and the store, or connects it again.
+  pub fn set_isolated(&mut self, host: u8, isolated: bool) {
+    self.note_fault();
+    if isolated {
+      self.isolated.insert(host);
+    } else {
+      self.isolated.remove(&host);
+    }
+  }
+
   /// Sets whether the store answers.
   pub fn set_store_answers(&mut self, answers: bool) {
     self.note_fault();
@@ -495,6 +520,7 @@
     self.store_answers
       && self.loss == 0.0
       && self.duplicated == 0.0
+      && self.isolated.is_empty()
       && self.now >= self.last_fault + CALM_MS
   }
 
@@ -508,6 +534,12 @@
     self.queue.push(Reverse((self.now + after, self.last_item)));
   }
 
+  /// Writes an item of the store.
+  fn write(&mut self, key: String, record: Record) {
+    self.history.push(record.clone());
+    self.records.insert(key, record);
+  }
+
   fn next_revision(&mut self) -> u64 {
     self.revision += 1;
     self.revision
@@ -557,21 +589,33 @@
     };
     let gossip = node.machine().gossip();
     let (reads, synced) = (gossip.is_reader(now), gossip.catalog().synced());
-    if reads && answers {
-      let snapshot = synced == Revision(0);
-      let records = self.records.values();
-      let records = records.filter(|record| record.revision() > synced);
-      let present = records.filter(|record| !snapshot || Self::is_in_snapshot(record));
-      let update = Update {
-        after: (!snapshot).then_some(synced),
-        records: present.cloned().collect(),
-        to: Revision(self.revision),
-      };
+    if reads && answers && !self.isolated.contains(&host) {
+      let update = self.read_store(synced);
       self.schedule(4, Item::Update(host, Origin::Platform, update));
     }
     self.schedule(READ_INTERVAL_MS, Item::Read(host));
   }
 
+  /// All changes after a revision, or a snapshot if the store has forgotten some of them.
+  fn read_store(&self, after: Revision) -> Update {
+    let is_snapshot = after == Revision(0) || after < Revision(self.forgotten);
+    let records = if is_snapshot {
+      let present = self.records.values();
+      let present = present.filter(|record| Self::is_in_snapshot(record));
+      present.cloned().collect()
+    } else {
+      let newer = self.history.iter();
+      let newer = newer.filter(|record| record.revision() > after);
+      newer.cloned().collect()
+    };
+    Update {
+      after: (!is_snapshot).then_some(after),
+      has_gap: is_snapshot,
+      records,
+      to: Revision(self.revision),
+    }
+  }
+
   fn step(&mut self, host: u8, event: Event) {
     let now = self.instant();
     let Some(node) = self.nodes.get_mut(&host) else {
@@ -596,9 +640,13 @@
   }
 
   fn pull_from_peer(&mut self, host: u8, from: SocketAddrV4, after: Revision) {
-    let other = self.nodes.get_mut(&from.ip().octets()[3]);
-    if let Some(other) = other {
-      let update = other.machine().gossip().catalog().since(after);
+    let now = self.instant();
+    let peer = from.ip().octets()[3];
+    if self.isolated.contains(&host) || self.isolated.contains(&peer) {
+      return;
+    }
+    if let Some(other) = self.nodes.get_mut(&peer) {
+      let update = other.machine().gossip().catalog().since(now, after);
       self.schedule(6, Item::Update(host, Origin::Peer(from), update));
     }
   }
@@ -617,6 +665,9 @@
       Via::Peers => {
         assert_eq!(to.port(), PEERS);
         let to = to.ip().octets()[3];
+        if self.isolated.contains(&host) || self.isolated.contains(&to) {
+          return;
+        }
         self.schedule(after, Item::Frame(to, peer(host), bytes.to_vec()));
         if self.duplicated > 0.0 && self.rng.random_bool(self.duplicated) {
           let late = after + self.rng.random_range(0..1000);
@@ -634,7 +685,8 @@
   /// fabric does.
   fn send_to_balancer(&mut self, packet: Packet) {
     let running = self.nodes.iter();
-    let running = running.filter(|(_, node)| matches!(node, Node::Balancer(_)));
+    let running = running
+      .filter(|(host, node)| matches!(node, Node::Balancer(_)) && !self.isolated.contains(host));
     let running = running.map(|(host, _)| *host).collect::<Vec<_>>();
     if running.is_empty() {
       return;
--- a/tests/datagram/world/data_centres.rs
+++ b/tests/datagram/world/data_centres.rs
@@ -75,9 +75,8 @@
     }
     let now = self.now;
     let revision = self.next_revision();
-    self
-      .records
-      .insert(key(data_centre), evacuation(revision, data_centre, true));
+    let record = evacuation(revision, data_centre, true);
+    self.write(key(data_centre), record);
     if let Some(data_centres) = &mut self.data_centres {
       data_centres.closed.entry(data_centre).or_insert(now);
     }
@@ -94,9 +93,8 @@
       return;
     };
     let revision = self.next_revision();
-    self
-      .records
-      .insert(key(data_centre), evacuation(revision, data_centre, false));
+    let record = evacuation(revision, data_centre, false);
+    self.write(key(data_centre), record);
     let was_evacuated = self.now > since + CLOSED_AFTER_MS;
     for host in self.targets() {
       if was_evacuated && self.data_centre(host) == data_centre {
@@ -137,7 +135,7 @@
     let left = Duration::from_millis(left);
     let mut record = warming(revision, &id, host, self.upstreams[&host].service, left);
     self.set_location_and_warmup(host, &mut record);
-    self.records.insert(id, record);
+    self.write(id, record);
     if !left.is_zero() {
       self.schedule(REPORT_INTERVAL_MS, Item::Warmup(host));
     }
