Count an agent as lost only after it had a chance to answer

Cause: a balancer counted the agent of a removed target as lost when it had heard nothing from it for 1.5 s. It sends statuses to agents of listed targets alone, so that this agent did not know the balancer and had no reason to send anything: silence without a question was taken for an answer. Trace on: three agents denied, lost=[127.96.101.14:7720] 150 ms after the first query that it was ever sent.

Change: balancers exchange statuses with the agents of all targets that may run, listed or not, until these have been silent for 1.5 s. The silence of an agent counts from when it was first sent a status, or from the search if it is sent none. Newly learnt agents are sent a status at once. An agent makes itself known to all balancers that statuses name (in a full mesh), not to its seeds alone: after a kill of everything nobody else can tell of it.

Tests: tests/datagram/silence.rs.

--- a/src/datagram/balancer/comparison.rs
+++ b/src/datagram/balancer/comparison.rs
@@ -176,7 +176,7 @@
       target.was_measured |= target.load.service_ms > 0;
       if target.was_measured || target.service != *service || target.removed.is_some() {
         comparison.joining.remove(*agent);
-      } else if target.last_heard.is_some() && !target.load.down {
+      } else if target.contact.last_heard.is_some() && !target.load.down {
         comparison.joining.join(*agent);
       }
     }
@@ -273,7 +273,7 @@
 /// Whether a target was heard from within `LOAD_TTL`.
 fn has_recent_load(now: Instant, target: &TargetState) -> bool {
   let is_recent = |at: Instant| now.saturating_duration_since(at) < LOAD_TTL;
-  target.last_heard.is_some_and(is_recent)
+  target.contact.last_heard.is_some_and(is_recent)
 }
 
 /// What the relief of a service needs to know of a target.
--- a/src/datagram/balancer/frames.rs
+++ b/src/datagram/balancer/frames.rs
@@ -104,7 +104,7 @@
       self.targets.evacuations.update(listed, from);
     }
     if !change.is_empty() {
-      self.targets.update(now, self.gossip.catalog());
+      self.targets.update(self.gossip.catalog());
     }
     if change.configuration {
       self.update_lowest_priorities();
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -206,8 +206,9 @@
       self.expire(now);
     }
     if now >= self.gossip.deadline() {
-      let agents = self.targets.agents();
+      let agents = self.gossip.take_due_agents(now, &self.targets.agents(now));
       self.gossip.tick(now, Role::Balancer, &agents, out);
+      self.targets.note_contacted(now, &agents);
     }
   }
 
@@ -229,7 +230,7 @@
       .retain(|_, handover| handover.age(now) < HANDOVER_TTL);
     self.gossip.expire(now);
     self.targets.expire(now);
-    self.targets.update(now, self.gossip.catalog());
+    self.targets.update(self.gossip.catalog());
   }
 }
 
--- a/src/datagram/balancer/remembering.rs
+++ b/src/datagram/balancer/remembering.rs
@@ -16,7 +16,9 @@
     out: &mut Outbox,
   ) {
     if self.gossip.take_history(now, from, history) {
-      self.targets.update(now, self.gossip.catalog());
+      self.targets.update(self.gossip.catalog());
+      // Agents that do not answer the status count as lost sooner.
+      self.gossip.hasten_status(now);
     }
     self.gossip.request_all_history(now, out);
     self.conclude_denied(now, out);
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -145,7 +145,7 @@
       is_new |= self.gossip.import_removed(now, service, &known.tombstones);
     }
     if is_new {
-      self.targets.update(now, self.gossip.catalog());
+      self.targets.update(self.gossip.catalog());
     }
   }
 
@@ -272,9 +272,10 @@
     let was_narrow = !search.is_wide;
     // An agent that exchanges no statuses with this balancer gets time to answer before it counts
     // as lost.
-    let is_early = now.saturating_duration_since(search.started) < self.tuning.peer_timeout;
+    let started = search.started;
+    let is_early = now.saturating_duration_since(started) < self.tuning.peer_timeout;
     let may_answer = is_early && !self.gossip.is_full_mesh();
-    search.record_lost(|agent| !may_answer && targets.is_lost(now, agent));
+    search.record_lost(|agent| !may_answer && targets.is_lost(now, agent, started));
     self.query_rest(now, flow, out);
     let Some(search) = self.searches.get_mut(&flow) else {
       return;
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -25,6 +25,22 @@
 /// time after which a caller retransmits.
 const REFUSAL_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Whether an agent answers the statuses that this process sends it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Contact {
+  /// When it was first sent a status; none if it was sent none.
+  since: Option<Instant>,
+  /// When a status or load last came from it.
+  pub(super) last_heard: Option<Instant>,
+}
+
+impl Contact {
+  /// Since when it has been silent; none if nothing was sent that it could have answered.
+  fn silent_since(&self) -> Option<Instant> {
+    self.last_heard.or(self.since)
+  }
+}
+
 /// What a balancer knows of a target.
 #[derive(Clone, Debug)]
 pub struct TargetState {
@@ -34,7 +50,7 @@
   pub data_centre: String,
   /// When it was removed from the target list.
   pub removed: Option<Instant>,
-  pub(super) last_heard: Option<Instant>,
+  pub(super) contact: Contact,
   incarnation: Option<u32>,
   /// Whether this data centre sends new flows to that of the target.
   pub(super) crossing: Crossing,
@@ -65,7 +81,7 @@
       start_time: entry.target.start_time,
       data_centre: String::new(),
       removed: None,
-      last_heard: None,
+      contact: Contact::default(),
       incarnation: None,
       crossing: Crossing::default(),
       load: Load::default(),
@@ -126,11 +142,8 @@
 /// A target that was removed from the target list before this process saw it there.
 #[derive(Clone, Debug)]
 struct FormerTarget {
+  contact: Contact,
   removed: Instant,
-  /// When a frame last came from its agent.
-  last_heard: Option<Instant>,
-  /// When this process learnt of it.
-  learnt: Instant,
 }
 
 /// All targets that a balancer knows, listed or removed.
@@ -172,9 +185,12 @@
     }
   }
 
-  /// The agents of all listed targets, by whether they are in this data centre.
-  pub fn agents(&self) -> Agents {
-    let mut agents = Agents::default();
+  /// The agents of all targets that may run, by where they are.
+  pub fn agents(&self, now: Instant) -> Agents {
+    let mut agents = Agents {
+      former: self.former_agents(now),
+      ..Agents::default()
+    };
     let listed = self.by_agent.iter();
     for (agent, target) in listed.filter(|(_, target)| target.removed.is_none()) {
       if target.data_centre == self.data_centre {
@@ -188,7 +204,7 @@
 
   /// How long ago an agent's last frame came, in milliseconds; none if none has come.
   pub fn age_ms(&self, now: Instant, agent: SocketAddrV4) -> Option<u64> {
-    let heard = self.by_agent.get(&agent)?.last_heard?;
+    let heard = self.by_agent.get(&agent)?.contact.last_heard?;
     Some(now.saturating_duration_since(heard).as_millis() as u64)
   }
 
@@ -217,30 +233,55 @@
     self.holders(services).filter(|agent| self.is_local(*agent))
   }
 
+  /// The agents of targets that are not listed and may still run. Their flows depend on them, so
+  /// that they are sent statuses, too.
+  fn former_agents(&self, now: Instant) -> Vec<SocketAddrV4> {
+    let removed = self.by_agent.iter();
+    let removed = removed.filter(|(_, target)| target.removed.is_some());
+    let removed = removed.map(|(agent, _)| *agent);
+    let agents = removed.chain(self.former.keys().copied());
+    let alive = agents.filter(|agent| !self.is_lost(now, *agent, now));
+    alive.chain(self.unlisted.keys().copied()).collect()
+  }
+
+  /// Records that agents are sent a status.
+  pub fn note_contacted(&mut self, now: Instant, agents: &[SocketAddrV4]) {
+    for agent in agents {
+      let listed = self.by_agent.get_mut(agent);
+      let former = self.former.get_mut(agent);
+      let contact = listed.map(|target| &mut target.contact);
+      if let Some(contact) = contact.or(former.map(|former| &mut former.contact)) {
+        contact.since.get_or_insert(now);
+      }
+    }
+  }
+
   /// Whether an agent counts as lost: its target was removed from the target list, or is unknown, and
-  /// the agent has sent nothing within the timeout.
-  pub fn is_lost(&self, now: Instant, agent: SocketAddrV4) -> bool {
+  /// the agent has not answered for the timeout. The silence of an agent that is sent no statuses
+  /// counts from when it was `asked`.
+  pub fn is_lost(&self, now: Instant, agent: SocketAddrV4, asked: Instant) -> bool {
     // This process may not have run long enough to receive a status from every agent.
     if now.saturating_duration_since(self.started) < self.tuning.peer_timeout {
       return false;
     }
-    let is_past_grace = |at: Instant| now.saturating_duration_since(at) >= REMOVAL_GRACE;
-    match (self.by_agent.get(&agent), self.former.get(&agent)) {
-      (Some(target), _) => target.removed.is_some_and(is_past_grace) && !self.is_alive(now, target),
-      (None, Some(former)) => {
-        let last = former.last_heard.unwrap_or(former.learnt);
-        is_past_grace(former.removed)
-          && now.saturating_duration_since(last) >= self.tuning.peer_timeout
-      }
-      (None, None) => !self.unlisted.contains_key(&agent),
-    }
+    let target = self.by_agent.get(&agent);
+    let target = target.map(|target| (target.removed, target.contact));
+    let former = self.former.get(&agent);
+    let former = former.map(|former| (Some(former.removed), former.contact));
+    let Some((removed, contact)) = target.or(former) else {
+      return !self.unlisted.contains_key(&agent);
+    };
+    let is_past = |at: Instant, time| now.saturating_duration_since(at) >= time;
+    let silent_since = contact.silent_since().unwrap_or(asked);
+    removed.is_some_and(|removed| is_past(removed, REMOVAL_GRACE))
+      && is_past(silent_since, self.tuning.peer_timeout)
   }
 
   /// Records the load that an agent reports, which is assumed to include all opening packets sent to
   /// it.
   pub fn record_load(&mut self, now: Instant, agent: SocketAddrV4, load: Load) {
     if let Some(target) = self.by_agent.get_mut(&agent) {
-      target.last_heard = Some(now);
+      target.contact.last_heard = Some(now);
       let before = std::mem::replace(&mut target.load, load);
       target.pending = 0;
       let service = target.service.clone();
@@ -310,7 +351,7 @@
   ) -> IncarnationChange {
     let Some(target) = self.by_agent.get_mut(&agent) else {
       match self.former.get_mut(&agent) {
-        Some(former) => former.last_heard = Some(now),
+        Some(former) => former.contact.last_heard = Some(now),
         None => {
           self.unlisted.insert(agent, now);
         }
@@ -347,7 +388,7 @@
         "cost_ms": self.cost(now, target, self.medians(&target.service)),
         "data_centre": target.data_centre,
         "gone_ms": target.removed.map(age),
-        "heard_ms": target.last_heard.map(age),
+        "heard_ms": target.contact.last_heard.map(age),
         "load": target.load,
         "pending": target.pending,
         "presence": target.presence,
@@ -371,7 +412,7 @@
 
   /// Replaces the targets by those of the catalog; what is known of their load and their agents is
   /// kept.
-  pub fn update(&mut self, now: Instant, catalog: &Catalog) {
+  pub fn update(&mut self, catalog: &Catalog) {
     let configuration = catalog.configuration();
     self.warmups =
       configuration.map_or_else(BTreeMap::new, |configuration| configuration.warmups.clone());
@@ -391,15 +432,17 @@
         *current = entry;
       }
     }
-    self.update_former(now, catalog);
+    self.update_former(catalog);
     self
       .comparisons
       .retain(|service, _| self.services.contains_key(service));
     for (agent, entry) in newest {
-      self.unlisted.remove(&agent);
-      let target = before
-        .remove(&agent)
-        .unwrap_or_else(|| TargetState::new(entry));
+      let heard = self.unlisted.remove(&agent);
+      let target = before.remove(&agent).unwrap_or_else(|| {
+        let mut target = TargetState::new(entry);
+        target.contact.last_heard = heard.filter(|_| entry.removed.is_some());
+        target
+      });
       if entry.target.start_time > target.start_time {
         for comparison in self.comparisons.values_mut() {
           comparison.remove(agent);
@@ -410,7 +453,7 @@
   }
 
   /// Replaces the targets that this process never saw listed.
-  fn update_former(&mut self, now: Instant, catalog: &Catalog) {
+  fn update_former(&mut self, catalog: &Catalog) {
     let mut before = std::mem::take(&mut self.former);
     for (instance, service, removed) in catalog.former_targets().all() {
       let agent = SocketAddrV4::new(instance, self.port);
@@ -418,12 +461,12 @@
       if !agents.contains(&agent) {
         agents.push(agent);
       }
-      let heard = self.unlisted.remove(&agent);
-      let former = before.remove(&agent).unwrap_or(FormerTarget {
-        removed,
-        last_heard: heard,
-        learnt: now,
-      });
+      let contact = Contact {
+        since: None,
+        last_heard: self.unlisted.remove(&agent),
+      };
+      let former = before.remove(&agent);
+      let former = former.unwrap_or(FormerTarget { contact, removed });
       let latest = self.former.entry(agent).or_insert(former);
       latest.removed = latest.removed.max(removed);
     }
@@ -431,6 +474,7 @@
 
   pub(super) fn is_alive(&self, now: Instant, target: &TargetState) -> bool {
     target
+      .contact
       .last_heard
       .is_some_and(|heard| now.saturating_duration_since(heard) < self.tuning.peer_timeout)
   }
--- a/src/datagram/gossip.rs
+++ b/src/datagram/gossip.rs
@@ -36,12 +36,14 @@
 /// How long an update requested from a peer may take before it is requested from another one.
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The agents of listed targets, by whether they are in this process's data centre.
+/// The agents that a balancer sends statuses to.
 #[derive(Clone, Debug, Default)]
 pub struct Agents {
-  /// Agents in other data centres.
+  /// Agents of targets that are not listed and may still run.
+  pub former: Vec<SocketAddrV4>,
+  /// Agents of listed targets in other data centres.
   pub remote: Vec<SocketAddrV4>,
-  /// Agents in this data centre.
+  /// Agents of listed targets in this data centre.
   pub local: Vec<SocketAddrV4>,
 }
 
@@ -269,8 +271,11 @@
   pub fn handle_status(&mut self, now: Instant, from: SocketAddrV4, status: &Status) {
     let balancer = status.role == Role::Balancer;
     self.note_heard(now, from, balancer);
+    // In a full mesh, an agent makes itself known to all balancers: those that have started may not
+    // know it, if its target is not listed.
+    let introduces = self.balancer || self.is_full_mesh();
     for other in &status.balancers {
-      if *other != self.address && self.balancer {
+      if *other != self.address && introduces {
         self
           .peers
           .entry(*other)
--- a/src/datagram/gossip/sending.rs
+++ b/src/datagram/gossip/sending.rs
@@ -31,22 +31,26 @@
 const INTRODUCE_FOR: Duration = Duration::from_secs(3);
 
 impl Gossip {
-  /// Sends the statuses of a balancer that are due: to the other balancers and to `agents`.
-  pub fn tick(&mut self, now: Instant, role: Role, agents: &Agents, out: &mut Outbox) {
-    if now < self.next {
-      return;
+  /// The agents that a balancer's next status is sent to, which then counts as sent. Those in other
+  /// data centres get one less often, and unless the overlay is a full mesh, only this process's
+  /// neighbours.
+  pub fn take_due_agents(&mut self, now: Instant, agents: &Agents) -> Vec<SocketAddrV4> {
+    let is_remote_due = now >= self.next_remote_agents;
+    if is_remote_due {
+      self.next_remote_agents = now + self.tuning.remote_agent_status;
     }
+    let overlay = self.overlay();
+    let remote = agents.remote.iter().filter(|_| is_remote_due);
+    let distant = remote.chain(&agents.former);
+    let distant = distant.filter(|agent| overlay.has(**agent));
+    agents.local.iter().chain(distant).copied().collect()
+  }
+
+  /// Sends a balancer's status to the balancers that are due, and to `agents`.
+  pub fn tick(&mut self, now: Instant, role: Role, agents: &[SocketAddrV4], out: &mut Outbox) {
     self.broadcast_status(now, role, out);
     let frame = Frame::Status(self.own_status(now, Role::Balancer));
-    for agent in &agents.local {
-      out.frame(*agent, &frame, &[]);
-    }
-    if now < self.next_remote_agents {
-      return;
-    }
-    self.next_remote_agents = now + self.tuning.remote_agent_status;
-    let overlay = self.overlay();
-    for agent in agents.remote.iter().filter(|agent| overlay.has(**agent)) {
+    for agent in agents {
       out.frame(*agent, &frame, &[]);
     }
   }
@@ -94,6 +98,11 @@
     }
   }
 
+  /// Makes the next status due now.
+  pub fn hasten_status(&mut self, now: Instant) {
+    self.next = now;
+  }
+
   /// Sends a status to one process.
   pub fn send_status(&self, now: Instant, role: Role, to: SocketAddrV4, out: &mut Outbox) {
     out.frame(to, &Frame::Status(self.own_status(now, role)), &[]);
--- a/tests/datagram/main.rs
+++ b/tests/datagram/main.rs
@@ -30,6 +30,7 @@
 mod searching;
 mod sharing;
 mod shedding;
+mod silence;
 mod support;
 mod uneven;
 mod unserved;
--- a/tests/datagram/world.rs
+++ b/tests/datagram/world.rs
@@ -21,6 +21,7 @@
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap},
     net::SocketAddrV4,
+    ops::Range,
     sync::Arc,
     time::{Duration, Instant},
   },
@@ -138,6 +139,9 @@
   pub rng: SmallRng,
   /// The routes, by number.
   routes: BTreeMap<u8, RouteState>,
+  /// The pause of a caller between the answer to a request and its next request, in milliseconds;
+  /// none if empty.
+  pause_ms: Range<u64>,
   /// The processing time of a request, in milliseconds.
   processing_ms: u64,
   starts: u32,
@@ -205,6 +209,7 @@
       revision: 0,
       rng: SmallRng::seed_from_u64(seed),
       routes: BTreeMap::new(),
+      pause_ms: 0..0,
       processing_ms: 1,
       starts: 0,
       store_answers: true,
@@ -435,6 +440,11 @@
     }
   }
 
+  /// Sets the pause of a caller between an answer and its next request.
+  pub fn set_pause_ms(&mut self, ms: Range<u64>) {
+    self.pause_ms = ms;
+  }
+
   /// Sets the processing time of a request.
   pub fn set_processing_ms(&mut self, ms: u64) {
     self.processing_ms = ms;
@@ -751,7 +761,12 @@
     }
     call.timer += 1;
     let timer = call.timer;
-    self.schedule(0, Item::Caller(flow, timer));
+    let pause = if self.pause_ms.is_empty() || packet.kind == Kind::Open {
+      0
+    } else {
+      self.rng.random_range(self.pause_ms.clone())
+    };
+    self.schedule(pause, Item::Caller(flow, timer));
   }
 
   /// Counts a packet that reached a target while its flow is open at another one.
