Let a search wait once for each agent, and name the service of removed targets

Cause, two slips, each shown by a test: an agent that was named for two services was put on the list of missing answers twice, and off the list of agents to be tested once, so that the search thought that somebody had yet to answer and tested nobody but the first. And targets that an unlisted agent names were taken for targets of every service of the flow's route, which put agents into searches that they have nothing to do with.

Change: a search adds each agent once. An agent's denial names the service that its removed targets belong to.

--- a/src/datagram/agent/delivery.rs
+++ b/src/datagram/agent/delivery.rs
@@ -348,6 +348,7 @@
       } else {
         synced
       },
+      service: self.upstream.service.clone(),
       tombstones,
     }
   }
--- a/src/datagram/balancer/search.rs
+++ b/src/datagram/balancer/search.rs
@@ -82,8 +82,13 @@
 
   /// Adds the agents that were not queried yet, and returns them.
   pub fn add_queried(&mut self, holders: impl Iterator<Item = SocketAddrV4>) -> Agents {
-    let new = holders.filter(|holder| !self.queried.contains(holder));
-    let new = new.collect::<Agents>();
+    let mut new = Agents::new();
+    for holder in holders {
+      // An agent may be named for several services.
+      if !self.queried.contains(&holder) && !new.contains(&holder) {
+        new.push(holder);
+      }
+    }
     self.queried.extend_from_slice(&new);
     self.pending.extend_from_slice(&new);
     new
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -15,11 +15,7 @@
       service::Digest,
     },
   },
-  std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddrV4,
-    time::Instant,
-  },
+  std::{collections::BTreeMap, net::SocketAddrV4, time::Instant},
 };
 
 impl<C: Codec> Machine<C> {
@@ -86,7 +82,7 @@
     out: &mut Outbox,
   ) {
     self.gossip.is_behind(now, from, known.synced);
-    self.add_removed_targets(now, from, flows, known);
+    self.add_removed_targets(now, known);
     for flow in flows {
       let place = self.flows.get(flow);
       let was_at_sender =
@@ -124,40 +120,16 @@
     }
   }
 
-  /// Adds the removed targets that an agent reports. They belong to its own service, or if that is
-  /// not known here, to those of the flows.
-  fn add_removed_targets(
-    &mut self,
-    now: Instant,
-    from: SocketAddrV4,
-    flows: &[Flow],
-    known: &Known,
-  ) {
-    if known.tombstones.is_empty() {
-      return;
-    }
-    let services = match self.targets.service(from) {
-      Some(own) => BTreeSet::from([own.clone()]),
-      None => self.services_of(flows),
-    };
-    let mut is_new = false;
-    for service in &services {
-      is_new |= self.gossip.import_removed(now, service, &known.tombstones);
-    }
-    if is_new {
+  /// Adds the removed targets that an agent reports.
+  fn add_removed_targets(&mut self, now: Instant, known: &Known) {
+    if self
+      .gossip
+      .import_removed(now, &known.service, &known.tombstones)
+    {
       self.targets.update(self.gossip.catalog());
     }
   }
 
-  /// The services that some flows may belong to.
-  fn services_of(&self, flows: &[Flow]) -> BTreeSet<Service> {
-    let routes = flows.iter().map(|flow| flow.route);
-    let routes = routes.collect::<BTreeSet<_>>();
-    let catalog = self.gossip.catalog();
-    let services = routes.iter().flat_map(|route| catalog.services(route));
-    services.collect()
-  }
-
   /// Searches for the owner of a flow whose packet an agent has returned.
   fn search_elsewhere(&mut self, now: Instant, from: SocketAddrV4, flow: Flow, packet: &[u8]) {
     log::info!(
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -81,6 +81,8 @@
   /// The revision that the receiver's catalog has to reach before the targets in it, together with
   /// those named here, are all that may own the flow.
   pub synced: Revision,
+  /// The agent's service, to which the targets belong.
+  pub service: Service,
   /// Targets of the agent's service that were removed from the target list, by the addresses of
   /// their upstreams, and how long ago, in milliseconds: the platform may have removed them while
   /// they are alive. Also listed targets that are newer than the receiver's catalog.
--- a/tests/datagram/agent.rs
+++ b/tests/datagram/agent.rs
@@ -63,6 +63,7 @@
     flows: vec![flow],
     known: Known {
       synced,
+      service: "a".parse().expect("a name"),
       tombstones: vec![],
     },
     lost: false,
@@ -222,6 +223,7 @@
     flows: vec![one, other],
     known: Known {
       synced: KNOWN,
+      service: "a".parse().expect("a name"),
       tombstones: vec![],
     },
     lost: false,
@@ -346,6 +348,7 @@
     flows: vec![flow],
     known: Known {
       synced: KNOWN,
+      service: "a".parse().expect("a name"),
       tombstones: vec![],
     },
     lost: true,
--- a/tests/datagram/balancing.rs
+++ b/tests/datagram/balancing.rs
@@ -129,7 +129,7 @@
     flows: vec![flow(1, 1)],
     known: Known {
       synced: Revision(synced),
-      tombstones: vec![],
+      ..Known::default()
     },
     lost: false,
   }
--- a/tests/datagram/remembering.rs
+++ b/tests/datagram/remembering.rs
@@ -100,6 +100,7 @@
     flows: vec![flow(1, 1)],
     known: Known {
       synced: Revision(4),
+      service: "a".parse().expect("a name"),
       tombstones: vec![(crate::support::upstream(13), 100)],
     },
     lost: false,
--- a/tests/datagram/searching.rs
+++ b/tests/datagram/searching.rs
@@ -4,18 +4,23 @@
 use {
   crate::{
     balancing::{
-      Balancer, absent, balancer, carried, feed_status, history, is_reset, queried, search,
+      Balancer, absent, balancer, carried, feed_balancer_status, feed_status, history, is_reset,
+      queried, search,
     },
     plain::Packet,
     support::{
-      Harness, Sent, configured, elsewhere, flow, found, listed, peer, unlisted, unsure, update,
+      Harness, Sent, configured, configured_weighted, elsewhere, flow, found, listed, peer,
+      unlisted, unsure, update, upstream,
     },
   },
   assert_matches::assert_matches,
   fallwell::{
     Revision,
     config::Presence,
-    datagram::{Frame, Load, Machine, frame::Handling},
+    datagram::{
+      Frame, Load, Machine,
+      frame::{Handling, History, Known, Tombstone},
+    },
   },
   std::{net::SocketAddrV4, time::Duration},
 };
@@ -366,3 +371,58 @@
   });
   assert_eq!(packets.collect::<Vec<_>>(), [small.write()]);
 }
+
+/// Guards against a search that waits for good for an agent which is named for two services, so that
+/// the flow's owner is never tested.
+#[test]
+fn an_agent_that_is_named_for_two_services_is_waited_for_once() {
+  let mut balancer = balancer();
+  let both = [(1, vec![("a", 1), ("b", 1)]), (2, vec![("b", 1)])];
+  balancer.platform(update(Some(4), 5, &[configured_weighted(5, 2, &both)]));
+  feed_balancer_status(&mut balancer, 2);
+  let tombstone = |service: &str| Tombstone {
+    address: upstream(13),
+    age_ms: 100,
+    service: service.parse().expect("a name"),
+  };
+  let history = History {
+    known: true,
+    parts: 1,
+    synced: Revision(5),
+    tombstones: vec![tombstone("a"), tombstone("b")],
+    ..History::default()
+  };
+  balancer.frame(2, &Frame::History(history), &[]);
+  search(&mut balancer);
+  balancer.pass(Duration::from_millis(51));
+  let unsure = unsure(flow(1, 1));
+  let mut all = tested(&balancer.frame(11, &unsure, &[]));
+  all.extend(tested(&balancer.frame(21, &absent(5), &[])));
+  all.extend(tested(&balancer.frame(13, &unsure, &[])));
+  all.extend(tested(&balancer.frame(12, &unsure, &[])));
+  all.sort_unstable();
+  assert_eq!(all, [11, 12, 13]);
+}
+
+#[test]
+fn targets_that_an_unlisted_agent_names_belong_to_its_service() {
+  let mut balancer = balancer();
+  feed_status(&mut balancer, 22, 1, Load::default());
+  search(&mut balancer);
+  let denial = Frame::Absent {
+    flows: vec![flow(1, 1)],
+    known: Known {
+      synced: Revision(4),
+      service: "b".parse().expect("a name"),
+      tombstones: vec![(upstream(23), 100)],
+    },
+    lost: false,
+  };
+  balancer.frame(22, &history(false), &[]);
+  for host in [11, 12] {
+    balancer.frame(host, &absent(4), &[]);
+  }
+  assert_eq!(queried(&balancer.pass(Duration::from_millis(1))), [22]);
+  let sent = balancer.frame(22, &denial, &[]);
+  assert!(is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+}
--- a/tests/datagram/weights.rs
+++ b/tests/datagram/weights.rs
@@ -311,6 +311,7 @@
   search(&mut balancer);
   let known = fallwell::datagram::frame::Known {
     synced: Revision(4),
+    service: "b".parse().expect("a name"),
     tombstones: vec![(upstream(22), 100)],
   };
   let absent = Frame::Absent {
