Send routes that have changed back to receivers that have the change

What callers would see: new flows at a service that a later version has taken off the route, on a process that was sent the later version by one which had missed the version between.

One that went from version 1 to 3 by a difference in which a route is as before did not count the route as changed, and left it out for a receiver that had version 2. The receiver kept version 2's route under version 3 until the route changed again.

Change: all routes of a received difference count as changed.

Test: `delta::a_route_that_changed_and_changed_back_is_sent`, failed before (the route led to b, expected a).

--- a/src/datagram/catalog.rs
+++ b/src/datagram/catalog.rs
@@ -334,8 +334,14 @@
         if let Some((current, before)) = known.filter(|_| after <= self.synced)
           && *current < revision
         {
+          let changed = delta.routes.iter().map(|(address, _)| *address);
+          let changed = changed.collect::<Vec<_>>();
           let configuration = delta.apply(before);
-          change.configuration |= self.configure(now, configuration, revision);
+          if self.configure(now, configuration, revision) {
+            // A route may have changed and changed back meanwhile.
+            self.changelog.record_changed(changed.into_iter(), revision);
+            change.configuration = true;
+          }
         }
       }
       Record::Target {
--- a/src/datagram/changelog.rs
+++ b/src/datagram/changelog.rs
@@ -58,10 +58,21 @@
   /// Records the routes in which two configurations differ, as of a revision.
   pub fn replace(&mut self, before: &Configuration, next: &Configuration, revision: Revision) {
     let addresses = before.routes.keys().chain(next.routes.keys());
-    for address in addresses.collect::<BTreeSet<_>>() {
-      if before.routes.get(address) != next.routes.get(address) {
-        self.routes.insert(*address, revision);
-      }
+    let changed = addresses.collect::<BTreeSet<_>>();
+    let changed = changed
+      .into_iter()
+      .filter(|address| before.routes.get(address) != next.routes.get(address));
+    self.record_changed(changed.copied(), revision);
+  }
+
+  /// Records routes that have changed, as of a revision.
+  pub fn record_changed(
+    &mut self,
+    addresses: impl Iterator<Item = SocketAddrV4>,
+    revision: Revision,
+  ) {
+    for address in addresses {
+      self.routes.insert(address, revision);
     }
     if self.routes.len() > ROUTES_MAX {
       self.routes.clear();
--- a/tests/datagram/delta.rs
+++ b/tests/datagram/delta.rs
@@ -73,6 +73,19 @@
   }
 }
 
+/// Guards against an old route under a new version: the receiver has a configuration that the sender
+/// missed, between two in which the route is the same.
+#[test]
+fn a_route_that_changed_and_changed_back_is_sent() {
+  let second = vec![(1, "b")];
+  let source = catalog(&[(5, 1, routes(1)), (6, 2, second.clone()), (7, 3, routes(1))]);
+  let mut sender = catalog(&[(5, 1, routes(1))]);
+  sender.apply_update(Instant::now(), source.since(Instant::now(), Revision(5)));
+  let mut other = catalog(&[(5, 1, routes(1)), (6, 2, second)]);
+  other.apply_update(Instant::now(), sender.since(Instant::now(), Revision(6)));
+  assert_eq!(in_force(&other), configuration(3, &routes(1)));
+}
+
 #[test]
 fn a_received_difference_is_forwarded_as_one() {
   let second = [routes(10), vec![(20, "b")]].concat();
