Count no silence of agents while this balancer was cut off itself

Cause: a balancer that was cut off or paused for over 1.5 s had heard nothing from the agent of a removed target, and took that for the agent's silence. One lost datagram after it was back was then enough to reset the target's flows.

Change: after two intervals of statuses without a frame from anybody, agents count as silent from the next frame on.

Test: `silence::a_balancer_that_was_cut_off_waits_for_agents_again`. In two tests (`searching::a_missing_answer_of_a_removed_target_counts_as_denial`, `silence::an_agent_that_does_not_answer_statuses_is_not_waited_for`) the other agents now send statuses while the time passes, as they would; before, nobody did, so that the balancer itself seemed cut off.

--- a/src/datagram/balancer/frames.rs
+++ b/src/datagram/balancer/frames.rs
@@ -21,6 +21,7 @@
     out: &mut Outbox,
   ) -> Result<(), Code> {
     self.note_stall(now);
+    self.targets.note_frame(now);
     let (frame, packet) = Frame::decode(bytes)?;
     match frame {
       Frame::HistoryRequest => self.gossip.send_history(now, from, out),
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -158,7 +158,10 @@
   former: BTreeMap<SocketAddrV4, FormerTarget>,
   port: u16,
   pub(super) services: BTreeMap<Service, Vec<SocketAddrV4>>,
-  started: Instant,
+  /// When a frame last came from any process.
+  last_frame: Instant,
+  /// Since when this process has been reachable.
+  reachable_since: Instant,
   pub(super) tuning: Tuning,
   /// Agents that send their status but whose targets are neither listed nor reported as removed,
   /// with the time of the last status.
@@ -178,7 +181,8 @@
       former: BTreeMap::new(),
       port,
       services: BTreeMap::new(),
-      started: now,
+      last_frame: now,
+      reachable_since: now,
       tuning: *tuning,
       unlisted: BTreeMap::new(),
       warmups: BTreeMap::new(),
@@ -244,6 +248,16 @@
     alive.chain(self.unlisted.keys().copied()).collect()
   }
 
+  /// Records that a frame came from any process. If none has come for two intervals of statuses,
+  /// this process was cut off or paused, and the silence of agents shows nothing.
+  pub fn note_frame(&mut self, now: Instant) {
+    let silence = now.saturating_duration_since(self.last_frame);
+    if silence >= 2 * self.tuning.status {
+      self.reachable_since = now;
+    }
+    self.last_frame = now;
+  }
+
   /// Records that agents are sent a status.
   pub fn note_contacted(&mut self, now: Instant, agents: &[SocketAddrV4]) {
     for agent in agents {
@@ -260,8 +274,8 @@
   /// the agent has not answered for the timeout. The silence of an agent that is sent no statuses
   /// counts from when it was `asked`.
   pub fn is_lost(&self, now: Instant, agent: SocketAddrV4, asked: Instant) -> bool {
-    // This process may not have run long enough to receive a status from every agent.
-    if now.saturating_duration_since(self.started) < self.tuning.peer_timeout {
+    // This process may not have been reachable long enough to receive a status from every agent.
+    if now.saturating_duration_since(self.reachable_since) < self.tuning.peer_timeout {
       return false;
     }
     let target = self.by_agent.get(&agent);
--- a/tests/datagram/balancing.rs
+++ b/tests/datagram/balancing.rs
@@ -88,6 +88,16 @@
   balancer.frame(host, &Frame::Status(balancer_status()), &[])
 }
 
+/// Advances the time by seconds, while the agents on the hosts 11 and 21 send statuses.
+pub fn pass_with_statuses(balancer: &mut Balancer, seconds: u32) {
+  for _ in 0..2 * seconds {
+    balancer.pass(Duration::from_millis(500));
+    for host in [11, 21] {
+      feed_status(balancer, host, 1, Load::default());
+    }
+  }
+}
+
 /// The hosts that packets were sent to, and what each is to do with its packet.
 pub fn carried(sent: &[Sent]) -> Vec<(u8, Handling)> {
   let frames = sent.iter().filter_map(|sent| match sent {
