Count no agent as lost while this balancer hears nobody

Change: without a frame from anybody for two intervals of statuses no agent counts as lost. A flow whose target is gone is told so as before where any other process is heard.

Test: `silence::a_balancer_that_is_cut_off_counts_no_agent_as_lost`.

--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -248,16 +248,21 @@
     alive.chain(self.unlisted.keys().copied()).collect()
   }
 
-  /// Records that a frame came from any process. If none has come for two intervals of statuses,
-  /// this process was cut off or paused, and the silence of agents shows nothing.
+  /// Records that a frame came from any process. If this one was cut off before, the silence of
+  /// agents counts from now on.
   pub fn note_frame(&mut self, now: Instant) {
-    let silence = now.saturating_duration_since(self.last_frame);
-    if silence >= 2 * self.tuning.status {
+    if self.is_cut_off(now) {
       self.reachable_since = now;
     }
     self.last_frame = now;
   }
 
+  /// Whether no frame has come for two intervals of statuses: this process is cut off or was paused,
+  /// and the silence of agents shows nothing.
+  fn is_cut_off(&self, now: Instant) -> bool {
+    now.saturating_duration_since(self.last_frame) >= 2 * self.tuning.status
+  }
+
   /// Records that agents are sent a status.
   pub fn note_contacted(&mut self, now: Instant, agents: &[SocketAddrV4]) {
     for agent in agents {
@@ -275,7 +280,8 @@
   /// counts from when it was `asked`.
   pub fn is_lost(&self, now: Instant, agent: SocketAddrV4, asked: Instant) -> bool {
     // This process may not have been reachable long enough to receive a status from every agent.
-    if now.saturating_duration_since(self.reachable_since) < self.tuning.peer_timeout {
+    let reachable_for = now.saturating_duration_since(self.reachable_since);
+    if self.is_cut_off(now) || reachable_for < self.tuning.peer_timeout {
       return false;
     }
     let target = self.by_agent.get(&agent);
--- a/tests/datagram/overlay.rs
+++ b/tests/datagram/overlay.rs
@@ -219,6 +219,8 @@
     balancer.frame(host, &absent(6), &[]);
   }
   for step in 1..100 {
+    // The balancer is not cut off.
+    feed_load(&mut balancer, 11, 1, Load::default());
     let sent = balancer.pass(Duration::from_millis(50));
     if is_reset(&sent, flow(1, 1), 100) {
       return step * 50;
--- a/tests/datagram/silence.rs
+++ b/tests/datagram/silence.rs
@@ -96,6 +96,7 @@
     balancer.frame(host, &absent(4), &[]);
   }
   let reset = (1..300).find(|_| {
+    feed_status(balancer, 11, 1, Load::default());
     let sent = balancer.pass(Duration::from_millis(10));
     is_reset(&sent, flow(1, 1), 100)
   });
@@ -173,6 +174,20 @@
   assert!(greeted);
 }
 
+#[test]
+fn a_balancer_that_is_cut_off_counts_no_agent_as_lost() {
+  let mut balancer = balancer();
+  balancer.platform(update(Some(4), 5, &[unlisted(5, "up-12")]));
+  pass_with_statuses(&mut balancer, 2);
+  feed_status(&mut balancer, 12, 1, Load::default());
+  search(&mut balancer);
+  balancer.frame(11, &absent(5), &[]);
+  for _ in 0..30 {
+    let sent = balancer.pass(Duration::from_millis(100));
+    assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+  }
+}
+
 /// Guards against the reset of flows by a balancer that was cut off itself: it has heard nothing from
 /// an agent, since it heard nothing from anybody.
 #[test]
@@ -184,6 +199,7 @@
   search(&mut balancer);
   let sent = balancer.frame(11, &absent(5), &[]);
   assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+  // Other agents are heard again.
   for _ in 0..4 {
     let sent = balancer.pass(Duration::from_millis(300));
     assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
