Play what processes forget in the random run

It could not play a service that is taken off a route which stays, an entry that goes while its target serves on at the moment of a restart, callers that pause, all balancers killed at once, a balancer that is no seed, a process that is cut off, or a store that forgets its history.

`random_run::flows_survive_what_processes_forget` plays 96 seeds of these, and FALLWELL_SEEDS plays them with fresh seeds after the others.

--- a/tests/datagram/random_run.rs
+++ b/tests/datagram/random_run.rs
@@ -78,6 +78,10 @@
 }
 
 fn recover(world: &mut World) {
+  for host in 1..32 {
+    world.set_isolated(host, false);
+  }
+  world.set_pause_ms(0..0);
   world.set_loss(0.0);
   world.set_processing_ms(1);
   world.set_store_answers(true);
@@ -394,6 +398,113 @@
   }
 }
 
+/// Changes the services of the first route; the other route stays.
+fn change_services(world: &mut World) {
+  let first = match world.rng.random_range(0..4) {
+    0 => vec![("a", 1)],
+    1 => vec![("b", 1)],
+    2 => vec![("a", 1), ("b", 1)],
+    _ => vec![("a", 0), ("b", 1)],
+  };
+  world.configure_weighted(&[(1, first), (2, vec![("b", 1)])]);
+}
+
+/// Restarts a process as planned.
+fn restart(world: &mut World, host: u8) {
+  world.stop(host);
+  let ms = world.rng.random_range(1..600);
+  world.run(ms);
+  if host < A_HOSTS.start {
+    world.start_balancer(host);
+  } else {
+    world.start_agent(host);
+  }
+}
+
+/// Changes what a process has to remember, or takes the memory of some: a service is taken off a
+/// route that is kept, an entry goes while its target serves on, and processes restart, are killed or
+/// cut off at that moment.
+fn inject_history_fault(world: &mut World) {
+  let targets = world.targets();
+  let target = targets[world.rng.random_range(0..targets.len())];
+  let balancer = world.rng.random_range(1..4);
+  match world.rng.random_range(0..10) {
+    0 => change_services(world),
+    1 => {
+      change_services(world);
+      restart(world, balancer);
+    }
+    2 => {
+      world.unlist(target);
+      restart(world, target);
+    }
+    3 => {
+      world.unlist(target);
+      restart(world, balancer);
+    }
+    4 => {
+      // A release: all targets of a service leave, and the balancers restart in turn.
+      change_services(world);
+      for host in B_HOSTS {
+        world.unlist(host);
+      }
+      for host in 1..=3 {
+        restart(world, host);
+      }
+    }
+    5 => {
+      for host in 1..=3 {
+        world.kill(host);
+      }
+      let ms = world.rng.random_range(1..600);
+      world.run(ms);
+      for host in 1..=3 {
+        world.start_balancer(host);
+      }
+    }
+    6 => {
+      // Not a seed: agents that have just started do not know it.
+      world.start_balancer(4);
+    }
+    7 => {
+      // An agent is cut off for less than the time after which it counts as lost.
+      let (isolated, longest) = if world.rng.random_bool(0.5) {
+        (balancer, 2000)
+      } else {
+        (target, 400)
+      };
+      world.set_isolated(isolated, true);
+      for _ in 0..2 {
+        change_services(world);
+        let ms = world.rng.random_range(1..longest);
+        world.run(ms);
+      }
+      world.set_isolated(isolated, false);
+    }
+    8 => {
+      change_services(world);
+      world.unlist(target);
+      world.forget_history();
+    }
+    _ => inject_fault(world),
+  }
+}
+
+/// Services, targets and processes that come and go while callers pause between their requests.
+fn simulate_history(seed: u64) {
+  let mut world = from_first_start(seed);
+  world.configure_weighted(&[(1, vec![("a", 1), ("b", 1)]), (2, vec![("b", 1)])]);
+  world.set_pause_ms(1..3000);
+  simulate_with(world, seed, inject_history_fault);
+}
+
+#[test]
+fn flows_survive_what_processes_forget() {
+  for seed in 0..96 {
+    simulate_history(seed);
+  }
+}
+
 /// Overload and then a loss of power of all machines, often without the store. Frames are lost and
 /// duplicated, and some arrive at a later incarnation.
 fn simulate_power(seed: u64) {
@@ -456,5 +567,6 @@
     simulate_power(seed);
     simulate_data_centres(seed);
     simulate_weights(seed);
+    simulate_history(seed);
   }
 }
