Send a status at once to agents that become known by any update

Change: the status is due at once whichever way such a target becomes known, as it was for histories.

--- a/src/datagram/balancer/frames.rs
+++ b/src/datagram/balancer/frames.rs
@@ -105,13 +105,22 @@
       self.targets.evacuations.update(listed, from);
     }
     if !change.is_empty() {
-      self.targets.update(self.gossip.catalog());
+      self.update_targets(now);
     }
     if change.configuration {
       self.update_lowest_priorities();
     }
   }
 
+  /// Replaces the targets by those of the catalog.
+  pub(super) fn update_targets(&mut self, now: Instant) {
+    self.targets.update(self.gossip.catalog());
+    if self.gossip.is_full_mesh() && self.targets.has_uncontacted() {
+      // Agents that do not answer the status count as lost sooner.
+      self.gossip.hasten_status(now);
+    }
+  }
+
   fn update_lowest_priorities(&mut self) {
     self.lowest_priorities.clear();
     let configuration = self.gossip.catalog().configuration();
--- a/src/datagram/balancer/remembering.rs
+++ b/src/datagram/balancer/remembering.rs
@@ -16,9 +16,7 @@
     out: &mut Outbox,
   ) {
     if self.gossip.take_history(now, from, history) {
-      self.targets.update(self.gossip.catalog());
-      // Agents that do not answer the status count as lost sooner.
-      self.gossip.hasten_status(now);
+      self.update_targets(now);
     }
     self.gossip.request_all_history(now, out);
     self.conclude_denied(now, out);
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -126,7 +126,7 @@
       .gossip
       .import_removed(now, &known.service, &known.tombstones)
     {
-      self.targets.update(self.gossip.catalog());
+      self.update_targets(now);
     }
   }
 
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -263,6 +263,15 @@
     now.saturating_duration_since(self.last_frame) >= 2 * self.tuning.status
   }
 
+  /// Whether the agent of a target that is not listed was never sent a status.
+  pub fn has_uncontacted(&self) -> bool {
+    let removed = self.by_agent.values();
+    let removed = removed.filter(|target| target.removed.is_some());
+    let contacts = removed.map(|target| &target.contact);
+    let mut contacts = contacts.chain(self.former.values().map(|former| &former.contact));
+    contacts.any(|contact| contact.silent_since().is_none())
+  }
+
   /// Records that agents are sent a status.
   pub fn note_contacted(&mut self, now: Instant, agents: &[SocketAddrV4]) {
     for agent in agents {
