Look up removed targets in the index of services, and share the code of ages

Ages that stand for times in frames were converted in two places. A comment promised targets where there are none.

--- a/src/datagram.rs
+++ b/src/datagram.rs
@@ -3,6 +3,7 @@
 //! No packet names its target, so a balancer remembers where it placed a flow and queries the
 //! agents when it doesn't know. An agent sees both directions and knows all flows of its upstream.
 
+mod age;
 pub mod agent;
 mod backends;
 pub mod balancer;
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -122,10 +122,10 @@
 
   /// Adds the removed targets that an agent reports.
   fn add_removed_targets(&mut self, now: Instant, known: &Known) {
-    if self
-      .gossip
-      .import_removed(now, &known.service, &known.tombstones)
-    {
+    let unknown = known.tombstones.iter();
+    let unknown = unknown.filter(|(address, _)| !self.targets.has(&known.service, *address.ip()));
+    let unknown = unknown.copied().collect::<Vec<_>>();
+    if self.gossip.import_removed(now, &known.service, &unknown) {
       self.update_targets(now);
     }
   }
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -12,7 +12,7 @@
   serde_json::json,
   std::{
     collections::{BTreeMap, HashMap},
-    net::SocketAddrV4,
+    net::{Ipv4Addr, SocketAddrV4},
     time::{Duration, Instant},
   },
 };
@@ -212,6 +212,12 @@
     Some(now.saturating_duration_since(heard).as_millis() as u64)
   }
 
+  /// Whether a target of a service on an instance is known, listed or removed.
+  pub fn has(&self, service: &Service, instance: Ipv4Addr) -> bool {
+    let agents = self.services.get(service);
+    agents.is_some_and(|agents| agents.contains(&SocketAddrV4::new(instance, self.port)))
+  }
+
   /// The service of an agent's target; none if the agent is not known.
   pub fn service(&self, agent: SocketAddrV4) -> Option<&Service> {
     self.by_agent.get(&agent).map(|target| &target.service)
--- a/src/datagram/catalog.rs
+++ b/src/datagram/catalog.rs
@@ -1,7 +1,12 @@
 use {
   super::{
     Configuration, Evacuations, FormerBackends, FormerTargets, Record, Route, Service, Target,
-    Update, Warmup, changelog::Changelog, former_backends::Removed, frame::Tombstone, target,
+    Update, Warmup,
+    age::{age_ms, time_of},
+    changelog::Changelog,
+    former_backends::Removed,
+    frame::Tombstone,
+    target,
   },
   crate::Revision,
   smallvec::SmallVec,
@@ -267,13 +272,13 @@
     Update {
       after: (!snapshot).then_some(after),
       has_gap: self.gap.is_some_and(|(_, to)| after < to),
-      records: records.chain(self.former(now, oldest)).collect(),
+      records: records.chain(self.missed_backends(now, oldest)).collect(),
       to: self.synced,
     }
   }
 
-  /// The former backends and targets that a receiver which is complete up to `after` may not know.
-  fn former(&self, now: Instant, after: Revision) -> impl Iterator<Item = Record> {
+  /// The former backends that a receiver which is complete up to `after` may not know.
+  fn missed_backends(&self, now: Instant, after: Revision) -> impl Iterator<Item = Record> {
     let backends = self.former_backends.all();
     let backends = backends.filter(move |(address, removed)| {
       self.route(address).is_some() && (after == Revision::default() || removed.last > after)
@@ -319,7 +324,7 @@
         age_ms,
       } => {
         let removed = Removed {
-          at: before(now, age_ms),
+          at: time_of(now, age_ms),
           last: revision,
           service,
         };
@@ -361,7 +366,7 @@
         }
         let entry = Entry {
           first,
-          removed: Some(before(now, age_ms)),
+          removed: Some(time_of(now, age_ms)),
           revision,
           target: Arc::new(target),
         };
@@ -466,15 +471,3 @@
     listed
   }
 }
-
-/// The age of an event, in milliseconds.
-fn age_ms(now: Instant, at: Instant) -> u32 {
-  now.saturating_duration_since(at).as_millis() as u32
-}
-
-/// The time `age_ms` milliseconds ago.
-fn before(now: Instant, age_ms: u32) -> Instant {
-  now
-    .checked_sub(Duration::from_millis(age_ms.into()))
-    .unwrap_or(now)
-}
--- a/src/datagram/gossip/remembering.rs
+++ b/src/datagram/gossip/remembering.rs
@@ -4,15 +4,16 @@
 
 use {
   super::{Gossip, history},
-  crate::datagram::{
-    Frame, Outbox, Service,
-    former_backends::Removed,
-    frame::{FormerBackend, History, TOMBSTONES_MAX, Tombstone},
-  },
-  std::{
-    net::SocketAddrV4,
-    time::{Duration, Instant},
+  crate::{
+    Revision,
+    datagram::{
+      Frame, Outbox, Service,
+      age::{age_ms, time_of},
+      former_backends::Removed,
+      frame::{FormerBackend, History, TOMBSTONES_MAX, Tombstone},
+    },
   },
+  std::{net::SocketAddrV4, time::Instant},
 };
 
 /// How many requests for history are unanswered at a time, except those from balancers to balancers.
@@ -94,8 +95,8 @@
   pub fn take_history(&mut self, now: Instant, from: SocketAddrV4, history: &History) -> bool {
     for backend in &history.former_backends {
       let removed = Removed {
-        at: before(now, backend.age_ms),
-        last: crate::Revision::default(),
+        at: time_of(now, backend.age_ms),
+        last: Revision::default(),
         service: backend.service.clone(),
       };
       self.catalog.import_backend(backend.address, removed);
@@ -137,7 +138,7 @@
     let routed = all.filter(|(address, _)| self.catalog.route(address).is_some());
     let former_backends = routed.map(|(address, removed)| FormerBackend {
       address,
-      age_ms: now.saturating_duration_since(removed.at).as_millis() as u32,
+      age_ms: age_ms(now, removed.at),
       service: removed.service.clone(),
     });
     former_backends.collect()
@@ -159,7 +160,7 @@
   fn import_targets(&mut self, now: Instant, tombstones: &[Tombstone]) -> bool {
     let mut is_new = false;
     for tombstone in tombstones {
-      let at = before(now, tombstone.age_ms);
+      let at = time_of(now, tombstone.age_ms);
       is_new |= self
         .catalog
         .import_target(*tombstone.address.ip(), &tombstone.service, at);
@@ -168,13 +169,6 @@
   }
 }
 
-/// The time `age_ms` milliseconds ago.
-fn before(now: Instant, age_ms: u32) -> Instant {
-  now
-    .checked_sub(Duration::from_millis(age_ms.into()))
-    .unwrap_or(now)
-}
-
 /// The items of a part of the history.
 fn part_of<T: Clone>(items: &[T], part: usize) -> Vec<T> {
   let items = items.iter().skip(part * TOMBSTONES_MAX);
