Let only agents of unlisted targets introduce themselves to all balancers

Cause: had each agent learn all balancers that statuses name, as long as it took the overlay for a full mesh. Besides, every status of an agent went through all peers to see whether the history is to be asked for, also where it is known.

Change: only an agent whose target is not in the target list introduces itself; listed ones are sent statuses by the balancers. A known history is looked at first.

--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -215,6 +215,10 @@
       }
       Frame::Status(status) => {
         self.gossip.handle_status(now, from, &status);
+        if !self.is_in_target_list() {
+          // Balancers that have started do not know this agent.
+          self.gossip.add_balancers(now, &status.balancers);
+        }
         self.gossip.request_history(now, from, out);
         Ok(())
       }
@@ -290,6 +294,12 @@
     self.gossip.catalog().at(self.upstream.address).is_some()
   }
 
+  /// Whether the target list has the upstream.
+  fn is_in_target_list(&self) -> bool {
+    let entry = self.gossip.catalog().at(self.upstream.address);
+    entry.is_some_and(|(_, entry)| entry.removed.is_none())
+  }
+
   /// Whether the upstream takes no new flows: the process is shutting down, or the target list says
   /// that the upstream is draining or doesn't list it. A target that was removed before its agent
   /// received the first list has no entry there.
--- a/src/datagram/gossip.rs
+++ b/src/datagram/gossip.rs
@@ -271,16 +271,8 @@
   pub fn handle_status(&mut self, now: Instant, from: SocketAddrV4, status: &Status) {
     let balancer = status.role == Role::Balancer;
     self.note_heard(now, from, balancer);
-    // In a full mesh, an agent makes itself known to all balancers: those that have started may not
-    // know it, if its target is not listed.
-    let introduces = self.balancer || self.is_full_mesh();
-    for other in &status.balancers {
-      if *other != self.address && introduces {
-        self
-          .peers
-          .entry(*other)
-          .or_insert_with(|| Peer::new(now, true));
-      }
+    if self.balancer {
+      self.add_balancers(now, &status.balancers);
     }
     if let Some(peer) = self.peers.get_mut(&from) {
       peer.balancer = balancer;
@@ -301,6 +293,16 @@
     }
   }
 
+  /// Adds balancers that a status names, which are then sent one.
+  pub fn add_balancers(&mut self, now: Instant, balancers: &[SocketAddrV4]) {
+    for other in balancers.iter().filter(|other| **other != self.address) {
+      self
+        .peers
+        .entry(*other)
+        .or_insert_with(|| Peer::new(now, true));
+    }
+  }
+
   /// The state as JSON, for operators.
   pub fn dump(&self, now: Instant) -> serde_json::Value {
     let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
--- a/src/datagram/gossip/remembering.rs
+++ b/src/datagram/gossip/remembering.rs
@@ -48,6 +48,9 @@
   /// Requests the history of another process, unless it is known or the request was sent recently.
   /// A balancer asks agents once the balancers have answered.
   pub fn request_history(&mut self, now: Instant, from: SocketAddrV4, out: &mut Outbox) {
+    if self.history.is_known() {
+      return;
+    }
     let is_balancer = self.peers.get(&from).is_some_and(|peer| peer.balancer);
     let may_ask = is_balancer || (self.balancer && self.have_balancers_answered(now));
     let limit = if self.balancer && is_balancer {
