Look up a process's answer before those of all balancers

Cause: while the history is not known, each status of an agent took a pass over all peers to see whether the balancers had answered, also from agents that had answered long ago.

Change: a process that has answered is not asked again, which is looked up first. Nothing that is decided changes.

--- a/src/datagram/gossip/remembering.rs
+++ b/src/datagram/gossip/remembering.rs
@@ -48,7 +48,8 @@
   /// Requests the history of another process, unless it is known or the request was sent recently.
   /// A balancer asks agents once the balancers have answered.
   pub fn request_history(&mut self, now: Instant, from: SocketAddrV4, out: &mut Outbox) {
-    if self.history.is_known() {
+    // Called for each status: whether the balancers have answered takes a pass over all peers.
+    if self.history.is_known() || self.history.has_answered(from) {
       return;
     }
     let is_balancer = self.peers.get(&from).is_some_and(|peer| peer.balancer);
