Name the agents of a search at level debug alone

Cause: wrote the addresses of all queried agents into the line of each search, and those that denied into that of each reset.

Change: the lines at level info give numbers, the services and the agents that counted as lost; two lines at level debug name all.

--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -46,9 +46,11 @@
         self.counter.count(Code::FlowUnknown);
         return;
       }
-      log::info!(
+      log::info!(flow:% = flow, queried = queried.len(); "balancer: flow is searched for.");
+      // A service may have a hundred agents, and there may be a search for each open flow.
+      log::debug!(
         flow:% = flow, queried:? = queried, services:? = names(&services);
-        "balancer: flow is searched for."
+        "balancer: agents are queried."
       );
       let wait = if search.is_wide {
         self.tuning.search
@@ -188,12 +190,16 @@
       return;
     }
     log::info!(
-      flow:% = flow, denied:? = search.denied, foreign:? = search.foreign,
+      flow:% = flow, denied = search.denied.len(), foreign = search.foreign.len(),
       lost:? = search.lost, services:? = names(&services), acknowledges = acknowledges,
       history_known = self.gossip.is_history_known(),
       synced:% = self.gossip.catalog().synced(), confirmed:? = self.gossip.confirmed(now);
       "balancer: flow is denied by all agents and is reset."
     );
+    log::debug!(
+      flow:% = flow, denied:? = search.denied, foreign:? = search.foreign;
+      "balancer: agents have denied the flow."
+    );
     self.mark_dead(now, flow, acknowledges, out);
   }
 
