--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -5,7 +5,7 @@
     caller::{Flow, Outcome},
     record::Record,
     target::Target,
-    world::{DEADLINE, DRAIN, Work, World, unix_ms},
+    world::{DEADLINE, DRAIN, Work, World, configuration, unix_ms},
   },
   std::{
     net::SocketAddrV4,
@@ -30,6 +30,7 @@
     "born" => born(program, &record, trouble),
     "echo" => echo(program, &record, trouble),
     "foreign" => foreign(program, &record, trouble),
+    "forgotten" => forgotten(program, &record, trouble),
     "reuse-drain" => reuse_drain(program, &record, trouble),
     "reuse-reset" => reuse_reset(program, &record, trouble),
     _ => None,
@@ -304,3 +305,74 @@
   world.stop_callers();
   Some(world.late_openings(1, acked, &[]) > 0)
 }
+
+/// Flows are open at a service that a later configuration takes off their route. All processes are
+/// killed at once; long after, the requesters send their next requests.
+fn forgotten(program: PathBuf, record: &Arc<Record>, trouble: bool) -> Option<bool> {
+  let mut world = World::start_with(program, record, 3, (3, 2), false, Work::default())?;
+  let route = world.cluster.route(1);
+  let (go, held, lost) = (
+    AtomicBool::new(false),
+    AtomicUsize::new(0),
+    AtomicUsize::new(0),
+  );
+  thread::scope(|scope| {
+    for number in 1..=60 {
+      let mut caller = world.caller(number);
+      let (go, held, lost) = (&go, &held, &lost);
+      scope.spawn(move || {
+        thread::sleep(ms(10 * u64::from(number)));
+        let Outcome::Done(mut flow) = caller.open(20_000, route) else {
+          return;
+        };
+        let Outcome::Done(owner) = caller.ask(&mut flow, false, DEADLINE) else {
+          return;
+        };
+        // Targets 4 and 5 are of the second service.
+        if owner != "t4" && owner != "t5" {
+          return;
+        }
+        held.fetch_add(1, Ordering::SeqCst);
+        while !go.load(Ordering::SeqCst) {
+          thread::sleep(ms(10));
+        }
+        if let Outcome::Reset { by_target: false } = caller.ask(&mut flow, false, DEADLINE) {
+          lost.fetch_add(1, Ordering::SeqCst);
+          record.say(&format!(
+            "FLOW: {}>{}, open at {owner}, is reset by the system",
+            flow.from, flow.to
+          ));
+        }
+      });
+    }
+    thread::sleep(ms(1500));
+    let json = configuration(route, 3, false);
+    world.store.put("op/config", &json);
+    record.say(&format!("store: took op/config {json}"));
+    thread::sleep(ms(3500));
+    if trouble {
+      for machine in &world.cluster.machines {
+        world.cluster.signal(machine, "KILL");
+      }
+      for machine in &world.cluster.machines {
+        world.cluster.wait_end(machine);
+      }
+      thread::sleep(ms(500));
+      for machine in &world.cluster.machines {
+        world.cluster.start(machine);
+      }
+    }
+    thread::sleep(ms(5500));
+    record.say("the requesters send their next requests");
+    go.store(true, Ordering::SeqCst);
+  });
+  world.stop_callers();
+  let (held, lost) = (held.into_inner(), lost.into_inner());
+  record.say(&format!(
+    "{held} flows were open at the service that was taken off the route, {lost} of them were reset"
+  ));
+  if held < 5 {
+    return None;
+  }
+  Some(lost > 0)
+}
