--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -30,7 +30,9 @@
     "born" => born(program, &record, trouble),
     "echo" => echo(program, &record, trouble),
     "foreign" => foreign(program, &record, trouble),
-    "forgotten" => forgotten(program, &record, trouble),
+    "forgotten" => forgotten(program, &record, trouble, false),
+    "rolled" => rolled(program, &record, trouble),
+    "unlisted" => forgotten(program, &record, trouble, true),
     "reuse-drain" => reuse_drain(program, &record, trouble),
     "reuse-reset" => reuse_reset(program, &record, trouble),
     _ => None,
@@ -306,10 +308,17 @@
   Some(world.late_openings(1, acked, &[]) > 0)
 }
 
-/// Flows are open at a service that a later configuration takes off their route. All processes are
-/// killed at once; long after, the requesters send their next requests.
-fn forgotten(program: PathBuf, record: &Arc<Record>, trouble: bool) -> Option<bool> {
-  let mut world = World::start_with(program, record, 3, (3, 2), false, Work::default())?;
+/// Flows are open at a service that a later configuration takes off their route, or (`unlisted`) at
+/// targets whose entries go without `draining`. All processes are killed at once; long after, the
+/// requesters send their next requests.
+fn forgotten(
+  program: PathBuf,
+  record: &Arc<Record>,
+  trouble: bool,
+  unlisted: bool,
+) -> Option<bool> {
+  let (balancers, agents) = if unlisted { (4, (5, 0)) } else { (3, (3, 2)) };
+  let mut world = World::start_with(program, record, balancers, agents, false, Work::default())?;
   let route = world.cluster.route(1);
   let (go, held, lost) = (
     AtomicBool::new(false),
@@ -328,7 +337,7 @@
         let Outcome::Done(owner) = caller.ask(&mut flow, false, DEADLINE) else {
           return;
         };
-        // Targets 4 and 5 are of the second service.
+        // Targets 4 and 5 are of the second service, or leave the list.
         if owner != "t4" && owner != "t5" {
           return;
         }
@@ -346,9 +355,15 @@
       });
     }
     thread::sleep(ms(1500));
-    let json = configuration(route, 3, false);
-    world.store.put("op/config", &json);
-    record.say(&format!("store: took op/config {json}"));
+    if unlisted {
+      world.store.remove("servers/t4");
+      world.store.remove("servers/t5");
+      record.say("store: the entries of t4 and t5 are gone");
+    } else {
+      let json = configuration(route, 3, false);
+      world.store.put("op/config", &json);
+      record.say(&format!("store: took op/config {json}"));
+    }
     thread::sleep(ms(3500));
     if trouble {
       for machine in &world.cluster.machines {
@@ -369,10 +384,89 @@
   world.stop_callers();
   let (held, lost) = (held.into_inner(), lost.into_inner());
   record.say(&format!(
-    "{held} flows were open at the service that was taken off the route, {lost} of them were reset"
+    "{held} flows were open at targets 4 and 5, {lost} of them were reset"
   ));
   if held < 5 {
     return None;
   }
   Some(lost > 0)
 }
+
+/// Flows are open at a service that a later configuration takes off their route. All processes are
+/// stopped and started in turn, as planned, while further configurations come.
+fn rolled(program: PathBuf, record: &Arc<Record>, trouble: bool) -> Option<bool> {
+  let mut world = World::start_with(program, record, 3, (3, 2), false, Work::default())?;
+  let route = world.cluster.route(1);
+  let (stop, held, lost) = (
+    AtomicBool::new(false),
+    AtomicUsize::new(0),
+    AtomicUsize::new(0),
+  );
+  let idles = std::env::var("IDLE").as_deref() == Ok("1");
+  thread::scope(|scope| {
+    for number in 1..=60 {
+      let mut caller = world.caller(number);
+      let (stop, held, lost) = (&stop, &held, &lost);
+      scope.spawn(move || {
+        thread::sleep(ms(10 * u64::from(number)));
+        let Outcome::Done(mut flow) = caller.open(20_000, route) else {
+          return;
+        };
+        let Outcome::Done(owner) = caller.ask(&mut flow, false, DEADLINE) else {
+          return;
+        };
+        if owner != "t4" && owner != "t5" {
+          return;
+        }
+        held.fetch_add(1, Ordering::SeqCst);
+        loop {
+          let is_last = stop.load(Ordering::SeqCst);
+          if (!idles || is_last)
+            && let Outcome::Reset { by_target: false } = caller.ask(&mut flow, false, DEADLINE)
+          {
+            lost.fetch_add(1, Ordering::SeqCst);
+            record.say(&format!(
+              "FLOW: {}>{}, open at {owner}, is reset by the system",
+              flow.from, flow.to
+            ));
+            return;
+          }
+          if is_last {
+            return;
+          }
+          thread::sleep(ms(if idles { 20 } else { 700 }));
+        }
+      });
+    }
+    thread::sleep(ms(1500));
+    let mut version = 3;
+    let configure = |version| {
+      let json = configuration(route, version, false);
+      world.store.put("op/config", &json);
+    };
+    configure(version);
+    thread::sleep(ms(1500));
+    if trouble {
+      for machine in &world.cluster.machines {
+        world.cluster.signal(machine, "TERM");
+        world.cluster.wait_end(machine);
+        thread::sleep(ms(300));
+        version += 2;
+        configure(version);
+        thread::sleep(ms(200));
+        world.cluster.start(machine);
+        version += 2;
+        configure(version);
+        thread::sleep(ms(400));
+      }
+    }
+    thread::sleep(ms(500));
+    stop.store(true, Ordering::SeqCst);
+  });
+  world.stop_callers();
+  let (held, lost) = (held.into_inner(), lost.into_inner());
+  record.say(&format!(
+    "{held} flows were open at targets 4 and 5, {lost} of them were reset"
+  ));
+  (held >= 5).then_some(lost > 0)
+}
