review: a stand-in that can't work ends a case with 2

Cause: a panic of a stand-in, for one where an address is taken, ended with a code that the scripts don't name.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -11,7 +11,12 @@
 mod wire;
 mod world;
 
-use std::{env, path::PathBuf, process::ExitCode};
+use std::{
+  env,
+  panic::{self, AssertUnwindSafe},
+  path::PathBuf,
+  process::ExitCode,
+};
 
 fn main() -> ExitCode {
   let arguments = env::args().skip(1).collect::<Vec<_>>();
@@ -21,10 +26,12 @@
   };
   let trouble = env::var("TROUBLE").as_deref() != Ok("0");
   let folder = PathBuf::from(folder);
-  let broken = cases::run(case, &folder, PathBuf::from(program), trouble);
-  match broken {
-    Some(true) => ExitCode::from(1),
-    Some(false) => ExitCode::SUCCESS,
-    None => ExitCode::from(2),
+  let run = || cases::run(case, &folder, PathBuf::from(program), trouble);
+  // A stand-in that can't work, for one without its address, shows nothing about the rule. The
+  // processes are ended while the panic unwinds.
+  match panic::catch_unwind(AssertUnwindSafe(run)) {
+    Ok(Some(true)) => ExitCode::from(1),
+    Ok(Some(false)) => ExitCode::SUCCESS,
+    Ok(None) | Err(_) => ExitCode::from(2),
   }
 }
