--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -53,7 +53,7 @@
 /// A balancer is cut off the store while agents that were frozen wake one after another; meanwhile a
 /// target says that it leaves.
 fn echo(program: PathBuf, record: &Arc<Record>, trouble: bool) -> Option<bool> {
-  let mut world = World::start(program, record, 4, 6, false, Work::default())?;
+  let mut world = World::start(program, record, 4, 10, false, Work::default())?;
   world.start_callers(12, 20_000, ms(60));
   thread::sleep(ms(2500));
   // The balancer that reads the store calls it most.
@@ -269,13 +269,13 @@
 /// A target goes down and up by turns while the time of day jumps on its machine, starting each time
 /// under the same id; long after, it says that it leaves.
 fn born(program: PathBuf, record: &Arc<Record>, trouble: bool) -> Option<bool> {
-  // Two targets can't serve the load alone, so that the third gets flows after each start.
+  // Seven targets can't serve the load alone, so that the eighth gets flows after each start.
   let work = Work {
     slots: 2,
-    time: ms(40),
+    time: ms(100),
   };
-  let mut world = World::start(program, record, 2, 3, true, work)?;
-  world.start_callers(14, 20_000, ms(20));
+  let mut world = World::start(program, record, 2, 8, true, work)?;
+  world.start_callers(28, 20_000, ms(20));
   let start = record.now();
   let jump = if trouble { 2400 } else { 0 };
   let target = Arc::clone(&world.targets[0]);
--- a/review/standins-2/src/cluster.rs
+++ b/review/standins-2/src/cluster.rs
@@ -73,10 +73,10 @@
       };
       let is_free = (0..10).all(|offset| {
         let address = SocketAddrV4::new(first, base + offset);
-        let any = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, base + offset);
+        let other = SocketAddrV4::new(Ipv4Addr::LOCALHOST, base + offset);
         TcpListener::bind(address).is_ok()
           && UdpSocket::bind(address).is_ok()
-          && TcpListener::bind(any).is_ok()
+          && TcpListener::bind(other).is_ok()
       });
       if is_free {
         return Some(Self {
