Select the entry of the target list that an agent claims

Cause: a balancer kept the newest entry of each instance, whatever its service and port, so that those entries replaced the targets. An agent went by the newest entry at its upstream's address.

Change: an agent's status carries the identity of its upstream, a hash of address and service. A balancer selects the entry with it, and ignores those that the agent has received and does not claim. Until an agent has reported, entries of services with routes go first, and no flow is rejected for lack of a target that an undecided entry may name. Frames get version 0xd7.

The random run lists and removes such entries.

Changed test: overlay.rs gave balancers the addresses of instances that have agents there; they have addresses of their own now, which is as strict and what the test is about.

--- a/src/datagram/agent/admission.rs
+++ b/src/datagram/agent/admission.rs
@@ -115,8 +115,8 @@
       self.cold.suspect_reopened(now, opened);
     }
     // A tombstone does not apply to the upstream's next incarnation.
-    let entry = self.gossip.catalog().at(self.upstream.address);
-    if let Some((_, entry)) = entry.filter(|(_, entry)| entry.removed.is_none()) {
+    let entry = self.gossip.catalog().entry_of(&self.upstream);
+    if let Some(entry) = entry.filter(|entry| entry.removed.is_none()) {
       self
         .cold
         .set_warmup_left(now, entry.revision, entry.target.warmup_left);
--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -157,8 +157,8 @@
     let (frame, packet) = Frame::decode(bytes)?;
     if self.gossip.is_new(from) {
       // A balancer may buffer packets until it knows that this incarnation has started.
-      let load = self.load(now);
-      self.gossip.send_status(now, Role::Agent(load), from, out);
+      let role = self.role(self.load(now));
+      self.gossip.send_status(now, role, from, out);
     }
     match frame {
       Frame::Query {
@@ -277,7 +277,7 @@
       );
       self.leaving = leaving;
     }
-    let Some((_, entry)) = self.gossip.catalog().at(self.upstream.address) else {
+    let Some(entry) = self.gossip.catalog().entry_of(&self.upstream) else {
       return;
     };
     self.slots = Some(entry.target.slots.max(1));
@@ -291,13 +291,13 @@
 
   /// Whether the target list has an entry of the upstream, present or removed.
   pub(super) fn is_listed(&self) -> bool {
-    self.gossip.catalog().at(self.upstream.address).is_some()
+    self.gossip.catalog().entry_of(&self.upstream).is_some()
   }
 
   /// Whether the target list has the upstream.
   fn is_in_target_list(&self) -> bool {
-    let entry = self.gossip.catalog().at(self.upstream.address);
-    entry.is_some_and(|(_, entry)| entry.removed.is_none())
+    let entry = self.gossip.catalog().entry_of(&self.upstream);
+    entry.is_some_and(|entry| entry.removed.is_none())
   }
 
   /// Whether the upstream takes no new flows: the process is shutting down, or the target list says
@@ -305,13 +305,10 @@
   /// received the first list has no entry there.
   fn is_leaving(&self) -> bool {
     let catalog = self.gossip.catalog();
-    let Some((_, entry)) = catalog.at(self.upstream.address) else {
+    let Some(entry) = catalog.entry_of(&self.upstream) else {
       return self.stopping || catalog.synced() > Revision::default();
     };
-    self.stopping
-      || entry.target.presence == Presence::Leaving
-      || entry.removed.is_some()
-      || entry.target.service != self.upstream.service
+    self.stopping || entry.target.presence == Presence::Leaving || entry.removed.is_some()
   }
 
   /// The load that is reported to balancers.
@@ -323,6 +320,14 @@
     }
   }
 
+  /// The role that is reported with a load.
+  fn role(&self, load: Load) -> Role {
+    Role::Agent {
+      load,
+      upstream: self.upstream.identity(),
+    }
+  }
+
   /// How many requests the upstream works on at once; one before the target list has come.
   pub(super) fn slots(&self) -> u16 {
     self.slots.unwrap_or(1)
@@ -356,7 +361,7 @@
     }
     self.work.expire_measurements(now);
     let load = self.load(now);
-    let role = Role::Agent(load);
+    let role = self.role(load);
     let before = self.reported_load;
     let slots = self.slots();
     let changed = load.work != before.work
--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -29,6 +29,7 @@
 mod restarts;
 mod search;
 mod searching;
+mod selection;
 mod shedding;
 mod supply;
 mod targets;
--- a/src/datagram/balancer/frames.rs
+++ b/src/datagram/balancer/frames.rs
@@ -1,7 +1,7 @@
 //! Handles frames of agents and other balancers, and updates of the platform's records.
 
 use {
-  super::{machine::Machine, targets::IncarnationChange},
+  super::{machine::Machine, selection::Report, targets::IncarnationChange},
   crate::{
     Code,
     datagram::{
@@ -66,7 +66,8 @@
   ) {
     self.gossip.handle_status(now, from, status);
     self.gossip.request_history(now, from, out);
-    let Role::Agent(load) = status.role else {
+    self.record_report(now, from, status);
+    let Role::Agent { load, .. } = status.role else {
       return;
     };
     let change = self.targets.record_status(now, from, status, load);
@@ -82,6 +83,22 @@
     }
   }
 
+  /// Records which upstream a process reports as its own.
+  fn record_report(&mut self, now: Instant, from: SocketAddrV4, status: &Status) {
+    let upstream = match status.role {
+      Role::Agent { upstream, .. } => Some(upstream),
+      Role::Balancer => None,
+    };
+    let report = Report {
+      at: now,
+      synced: status.synced,
+      upstream,
+    };
+    if self.targets.record_report(from, report) {
+      self.update_targets(now);
+    }
+  }
+
   pub(super) fn take_update(
     &mut self,
     now: Instant,
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -121,12 +121,7 @@
       shedding: Shedding::new(Patience::of::<C>()),
       gossip,
       stale_until: now,
-      targets: Targets::new(
-        now,
-        settings.data_centre.clone(),
-        settings.peers.port(),
-        &tuning,
-      ),
+      targets: Targets::new(now, settings.data_centre.clone(), settings.peers, &tuning),
       tuning,
     }
   }
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -1,17 +1,18 @@
 use {
-  super::{comparison::Comparison, evacuations::Evacuations},
+  super::{comparison::Comparison, evacuations::Evacuations, selection::Report},
   crate::{
+    Revision,
     config::Presence,
     datagram::{
-      Agents, Catalog, Entry, Flow, Load, Service, Tuning, Warmup,
+      Agents, Entry, Flow, Load, Service, Tuning, Warmup,
       frame::{Refusal, Status},
-      target::StartTime,
+      target::{Identity, StartTime},
       uneven::Crossing,
     },
   },
   serde_json::json,
   std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::{Ipv4Addr, SocketAddrV4},
     time::{Duration, Instant},
   },
@@ -29,7 +30,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Contact {
   /// When it was first sent a status; none if it was sent none.
-  since: Option<Instant>,
+  pub(super) since: Option<Instant>,
   /// When a status or load last came from it.
   pub(super) last_heard: Option<Instant>,
 }
@@ -45,12 +46,14 @@
 #[derive(Clone, Debug)]
 pub struct TargetState {
   /// Start time of the upstream's incarnation that is listed.
-  start_time: Option<StartTime>,
+  pub(super) start_time: Option<StartTime>,
   /// The name of its data centre.
   pub data_centre: String,
   /// When it was removed from the target list.
   pub removed: Option<Instant>,
   pub(super) contact: Contact,
+  /// What distinguishes it from other entries of its instance.
+  pub(super) identity: Identity,
   incarnation: Option<u32>,
   /// Whether this data centre sends new flows to that of the target.
   pub(super) crossing: Crossing,
@@ -76,12 +79,13 @@
 }
 
 impl TargetState {
-  fn new(entry: &Entry) -> Self {
+  pub(super) fn new(entry: &Entry) -> Self {
     Self {
       start_time: entry.target.start_time,
       data_centre: String::new(),
       removed: None,
       contact: Contact::default(),
+      identity: entry.target.identity(),
       incarnation: None,
       crossing: Crossing::default(),
       load: Load::default(),
@@ -103,7 +107,21 @@
     self.load.work.saturating_add(self.pending)
   }
 
-  fn updated(mut self, entry: &Entry) -> Self {
+  /// The state of the target that an entry describes, if that is another one on the same instance.
+  /// What is known of the instance's agent is kept.
+  pub(super) fn renewed(self, entry: &Entry) -> Self {
+    if self.identity == entry.target.identity() {
+      return self;
+    }
+    Self {
+      contact: self.contact,
+      incarnation: self.incarnation,
+      stopping: self.stopping,
+      ..Self::new(entry)
+    }
+  }
+
+  pub(super) fn updated(mut self, entry: &Entry) -> Self {
     if self.removed.is_some() && entry.removed.is_none() {
       self.open_failed = None;
     }
@@ -141,49 +159,61 @@
 
 /// A target that was removed from the target list before this process saw it there.
 #[derive(Clone, Debug)]
-struct FormerTarget {
-  contact: Contact,
-  removed: Instant,
+pub(super) struct FormerTarget {
+  pub(super) contact: Contact,
+  pub(super) removed: Instant,
 }
 
 /// All targets that a balancer knows, listed or removed.
 #[derive(Debug)]
 pub struct Targets {
+  /// The balancer's own address.
+  pub(super) address: SocketAddrV4,
   pub(super) by_agent: BTreeMap<SocketAddrV4, TargetState>,
   /// What the loads of each service's targets show; empty without overload control.
   pub(super) comparisons: BTreeMap<Service, Comparison>,
   pub(super) evacuations: Evacuations,
   pub(super) data_centre: String,
   /// Targets that were removed before this process saw them listed, by agent.
-  former: BTreeMap<SocketAddrV4, FormerTarget>,
-  port: u16,
+  pub(super) former: BTreeMap<SocketAddrV4, FormerTarget>,
+  /// The revision of the newest listed entry of each agent's instance.
+  pub(super) listed: HashMap<SocketAddrV4, Revision>,
+  /// What processes report about their upstreams.
+  pub(super) reports: HashMap<SocketAddrV4, Report>,
   pub(super) services: BTreeMap<Service, Vec<SocketAddrV4>>,
   /// When a frame last came from any process.
   last_frame: Instant,
   /// Since when this process has been reachable.
   reachable_since: Instant,
   pub(super) tuning: Tuning,
+  /// The services of listed entries that may be those of targets, although others of their instances
+  /// were selected before the agents there have reported their upstreams.
+  pub(super) undecided: BTreeSet<Service>,
   /// Agents that send their status but whose targets are neither listed nor reported as removed,
   /// with the time of the last status.
-  unlisted: BTreeMap<SocketAddrV4, Instant>,
+  pub(super) unlisted: BTreeMap<SocketAddrV4, Instant>,
   /// The rates at which warming-up targets accept new flows.
   pub(super) warmups: BTreeMap<Service, Warmup>,
 }
 
 impl Targets {
-  /// No targets. `data_centre` is the balancer's own; `port` is where agents receive frames.
-  pub fn new(now: Instant, data_centre: String, port: u16, tuning: &Tuning) -> Self {
+  /// No targets. `address` and `data_centre` are the balancer's own; agents receive frames at the same
+  /// port.
+  pub fn new(now: Instant, data_centre: String, address: SocketAddrV4, tuning: &Tuning) -> Self {
     Self {
+      address,
       by_agent: BTreeMap::new(),
       comparisons: BTreeMap::new(),
       evacuations: Evacuations::default(),
       data_centre,
       former: BTreeMap::new(),
-      port,
+      listed: HashMap::new(),
+      reports: HashMap::new(),
       services: BTreeMap::new(),
       last_frame: now,
       reachable_since: now,
       tuning: *tuning,
+      undecided: BTreeSet::new(),
       unlisted: BTreeMap::new(),
       warmups: BTreeMap::new(),
     }
@@ -215,7 +245,7 @@
   /// Whether a target of a service on an instance is known, listed or removed.
   pub fn has(&self, service: &Service, instance: Ipv4Addr) -> bool {
     let agents = self.services.get(service);
-    agents.is_some_and(|agents| agents.contains(&SocketAddrV4::new(instance, self.port)))
+    agents.is_some_and(|agents| agents.contains(&self.agent_on(instance)))
   }
 
   /// The service of an agent's target; none if the agent is not known.
@@ -437,74 +467,21 @@
     targets.collect()
   }
 
-  /// Discards unlisted agents that have timed out.
+  /// Discards unlisted agents, and reports of processes on instances without a listed entry, that have
+  /// timed out.
   pub fn expire(&mut self, now: Instant) {
     let peer_timeout = self.tuning.peer_timeout;
+    let is_recent = |at: Instant| now.saturating_duration_since(at) < peer_timeout;
+    self.unlisted.retain(|_, heard| is_recent(*heard));
+    let listed = &self.listed;
     self
-      .unlisted
-      .retain(|_, heard| now.saturating_duration_since(*heard) < peer_timeout);
-  }
-
-  /// Replaces the targets by those of the catalog; what is known of their load and their agents is
-  /// kept.
-  pub fn update(&mut self, catalog: &Catalog) {
-    let configuration = catalog.configuration();
-    self.warmups =
-      configuration.map_or_else(BTreeMap::new, |configuration| configuration.warmups.clone());
-    let mut before = std::mem::take(&mut self.by_agent);
-    self.services.clear();
-    let mut newest: HashMap<SocketAddrV4, &Entry> = HashMap::new();
-    for (_, entry) in catalog.entries() {
-      let agent = SocketAddrV4::new(*entry.target.address.ip(), self.port);
-      let service = entry.target.service.clone();
-      let agents = self.services.entry(service).or_default();
-      if !agents.contains(&agent) {
-        agents.push(agent);
-      }
-      let precedence = |entry: &Entry| (entry.removed.is_none(), entry.revision);
-      let current = newest.entry(agent).or_insert(entry);
-      if precedence(current) < precedence(entry) {
-        *current = entry;
-      }
-    }
-    self.update_former(catalog);
-    self
-      .comparisons
-      .retain(|service, _| self.services.contains_key(service));
-    for (agent, entry) in newest {
-      let heard = self.unlisted.remove(&agent);
-      let target = before.remove(&agent).unwrap_or_else(|| {
-        let mut target = TargetState::new(entry);
-        target.contact.last_heard = heard.filter(|_| entry.removed.is_some());
-        target
-      });
-      if entry.target.start_time > target.start_time {
-        for comparison in self.comparisons.values_mut() {
-          comparison.remove(agent);
-        }
-      }
-      self.by_agent.insert(agent, target.updated(entry));
-    }
+      .reports
+      .retain(|agent, report| is_recent(report.at) || listed.contains_key(agent));
   }
 
-  /// Replaces the targets that this process never saw listed.
-  fn update_former(&mut self, catalog: &Catalog) {
-    let mut before = std::mem::take(&mut self.former);
-    for (instance, service, removed) in catalog.former_targets().all() {
-      let agent = SocketAddrV4::new(instance, self.port);
-      let agents = self.services.entry(service.clone()).or_default();
-      if !agents.contains(&agent) {
-        agents.push(agent);
-      }
-      let contact = Contact {
-        since: None,
-        last_heard: self.unlisted.remove(&agent),
-      };
-      let former = before.remove(&agent);
-      let former = former.unwrap_or(FormerTarget { contact, removed });
-      let latest = self.former.entry(agent).or_insert(former);
-      latest.removed = latest.removed.max(removed);
-    }
+  /// The address of the agent on an instance.
+  pub(super) fn agent_on(&self, instance: Ipv4Addr) -> SocketAddrV4 {
+    SocketAddrV4::new(instance, self.address.port())
   }
 
   pub(super) fn is_alive(&self, now: Instant, target: &TargetState) -> bool {
--- a/src/datagram/balancer/waiting.rs
+++ b/src/datagram/balancer/waiting.rs
@@ -94,7 +94,7 @@
       return Some(Reason::Closed);
     }
     // A target that is not known yet may take them.
-    let is_known = self.is_confirmed(now);
+    let is_known = self.is_confirmed(now) && !self.targets.is_undecided(service);
     (is_known && !self.targets.accepts(now, service)).then_some(Reason::NoTarget)
   }
 
--- a/src/datagram/catalog.rs
+++ b/src/datagram/catalog.rs
@@ -1,7 +1,7 @@
 use {
   super::{
     Configuration, Evacuations, FormerBackends, FormerTargets, Record, Route, Service, Target,
-    Update, Warmup,
+    Update, Upstream, Warmup,
     age::{age_ms, time_of},
     changelog::Changelog,
     former_backends::Removed,
@@ -129,12 +129,13 @@
     self.targets.get(id)
   }
 
-  /// The latest listed target at an address, else its latest tombstone.
-  pub fn at(&self, address: SocketAddrV4) -> Option<(&target::Id, &Entry)> {
-    let here = self.targets.iter();
-    here
-      .filter(|(_, entry)| entry.target.address == address)
-      .max_by_key(|(_, entry)| (entry.removed.is_none(), entry.revision))
+  /// The latest entry of an upstream in the target list, else its latest tombstone. Entries of other
+  /// services at its address belong to other programs.
+  pub fn entry_of(&self, upstream: &Upstream) -> Option<&Entry> {
+    let entries = self.targets.values().filter(|entry| {
+      entry.target.address == upstream.address && entry.target.service == upstream.service
+    });
+    entries.max_by_key(|entry| (entry.removed.is_none(), entry.revision))
   }
 
   /// Drops expired tombstones, former targets and former backends.
@@ -184,6 +185,13 @@
     self.configuration()?.routes.get(address)
   }
 
+  /// Whether a service gets new flows.
+  pub fn is_routed(&self, service: &Service) -> bool {
+    let configuration = self.configuration().into_iter();
+    let mut routes = configuration.flat_map(|configuration| configuration.routes.values());
+    routes.any(|route| route.backends.takes(service))
+  }
+
   /// The services that may own flows to an address: all that it is routed to, and those that it was
   /// routed to within a flow's lifetime. Empty if the address has no route.
   pub fn services(&self, address: &SocketAddrV4) -> SmallVec<[Service; 2]> {
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -1,12 +1,14 @@
 use {
-  super::{Flow, Load, Service, Update, Version, handover::FlowRecord, service::Digest},
+  super::{
+    Flow, Load, Service, Update, Version, handover::FlowRecord, service::Digest, target::Identity,
+  },
   crate::{Code, Revision},
   serde::{Deserialize, Serialize},
   std::net::SocketAddrV4,
 };
 
 /// The first byte of a frame: the version of its layout.
-const VERSION: u8 = 0xd6;
+const VERSION: u8 = 0xd7;
 
 /// The largest update that is pushed as a frame, in bytes: it fits in a datagram of 1,500 bytes.
 pub const UPDATE_MAX: usize = 1200;
@@ -150,8 +152,13 @@
 /// The role of a process.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Role {
-  /// An agent, which runs on the same instance as an upstream, with the upstream's load.
-  Agent(Load),
+  /// An agent, which runs on the same instance as an upstream.
+  Agent {
+    /// The upstream's load.
+    load: Load,
+    /// Which upstream it is.
+    upstream: Identity,
+  },
   /// A balancer, which receives callers' packets.
   Balancer,
 }
--- a/src/datagram/gossip/sending.rs
+++ b/src/datagram/gossip/sending.rs
@@ -147,10 +147,13 @@
     }
   }
 
-  /// The agents of all listed targets, including those outside the overlay.
+  /// The agents of all listed targets, including those outside the overlay. An entry may name this
+  /// process's own instance.
   pub(super) fn listed_agents(&self) -> impl Iterator<Item = SocketAddrV4> {
     let listed = self.catalog.entries();
     let listed = listed.filter(|(_, entry)| entry.removed.is_none());
-    listed.map(|(_, entry)| SocketAddrV4::new(*entry.target.address.ip(), self.address.port()))
+    let agents =
+      listed.map(|(_, entry)| SocketAddrV4::new(*entry.target.address.ip(), self.address.port()));
+    agents.filter(|agent| *agent != self.address)
   }
 }
--- a/src/datagram/settings.rs
+++ b/src/datagram/settings.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Overload, Rate, Service},
+  super::{Overload, Rate, Service, target::Identity},
   crate::{
     code::{Code, Fault},
     logging,
@@ -58,6 +58,13 @@
   pub service: Service,
 }
 
+impl Upstream {
+  /// What distinguishes it from other targets on the same instance.
+  pub fn identity(&self) -> Identity {
+    Identity::new(self.address, &self.service)
+  }
+}
+
 impl Default for Settings {
   fn default() -> Self {
     let local = |port| SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
--- a/src/datagram/target.rs
+++ b/src/datagram/target.rs
@@ -11,6 +11,7 @@
     sync::Arc,
     time::Duration,
   },
+  xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// The platform's name of an upstream; a later incarnation may have the same one.
@@ -66,6 +67,28 @@
   }
 }
 
+/// A hash of an upstream's address and service. Agents report it, so that the upstream's entry is
+/// told from other entries of the same instance.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Identity(u32);
+
+impl Identity {
+  /// The identity of the upstream of `service` at an address.
+  pub fn new(address: SocketAddrV4, service: &Service) -> Self {
+    let mut bytes = [0; 6];
+    bytes[..4].copy_from_slice(&address.ip().octets());
+    bytes[4..].copy_from_slice(&address.port().to_be_bytes());
+    Self(xxh3_64_with_seed(&bytes, service.digest().0) as u32)
+  }
+}
+
+impl Display for Identity {
+  fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+    write!(f, "{:08x}", self.0)
+  }
+}
+
 /// One incarnation of an upstream, as the platform lists it, with some delay.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -87,3 +110,10 @@
   /// What was left of its warm-up when the platform wrote this record.
   pub warmup_left: Duration,
 }
+
+impl Target {
+  /// What distinguishes it from other targets on the same instance.
+  pub fn identity(&self) -> Identity {
+    Identity::new(self.address, &self.service)
+  }
+}
--- a/tests/datagram/balancing.rs
+++ b/tests/datagram/balancing.rs
@@ -3,7 +3,7 @@
 use {
   crate::{
     plain::{Kind, Packet, Plain},
-    support::{Harness, Sent, configured, flow, listed, update},
+    support::{Harness, Sent, configured, flow, listed, update, upstream},
   },
   fallwell::{
     Revision,
@@ -11,6 +11,7 @@
     datagram::{
       Flow, Frame, Load, Rate, balancer,
       frame::{Handling, History, Known, Role, Status},
+      target::Identity,
     },
   },
   std::time::Duration,
@@ -43,19 +44,30 @@
   balancer
 }
 
-/// Feeds the status of an agent's incarnation.
+/// Feeds the status of an agent's incarnation. The agent knows the target list up to revision 1; its
+/// upstream is of service `b` on the host 21, of service `a` on others.
 pub fn feed_status(balancer: &mut Balancer, host: u8, incarnation: u32, load: Load) -> Vec<Sent> {
-  let status = Frame::Status(Status {
-    balancers: vec![],
-    synced: Revision(1),
-    confirmed_ms: None,
-    data_centre: 0,
+  let service = if host == 21 { "b" } else { "a" };
+  let status = Status {
     incarnation,
-    link: 0,
-    role: Role::Agent(load),
-    stopping: false,
-  });
-  balancer.frame(host, &status, &[])
+    ..agent_status(host, service, 1, load)
+  };
+  balancer.frame(host, &Frame::Status(status), &[])
+}
+
+/// The status of the agent of an upstream of `service`, whose catalog is complete up to `synced`.
+pub fn agent_status(host: u8, service: &str, synced: u64, load: Load) -> Status {
+  let service = service.parse().expect("a name");
+  let role = Role::Agent {
+    load,
+    upstream: Identity::new(upstream(host), &service),
+  };
+  Status {
+    confirmed_ms: None,
+    role,
+    synced: Revision(synced),
+    ..balancer_status()
+  }
 }
 
 /// An empty history of a process whose catalog is complete up to revision 4; `known` if it knows all
--- a/tests/datagram/main.rs
+++ b/tests/datagram/main.rs
@@ -13,6 +13,7 @@
 mod evacuations;
 mod failing;
 mod fan_out;
+mod foreign_entries;
 mod frame;
 mod gossip;
 mod grants;
--- a/tests/datagram/overlay.rs
+++ b/tests/datagram/overlay.rs
@@ -24,8 +24,9 @@
 /// How many data centres the processes are in.
 const DATA_CENTRES: u32 = 6;
 
+/// The address of a balancer, on none of the instances that have an agent in these tests.
 fn address(number: u32) -> SocketAddrV4 {
-  SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + number), 7000)
+  SocketAddrV4::new(Ipv4Addr::from(0x0a01_0000 + number), 7000)
 }
 
 fn status(number: u32, role: Role) -> Frame {
--- a/tests/datagram/random_run.rs
+++ b/tests/datagram/random_run.rs
@@ -3,7 +3,7 @@
 //! one and no draining target gets opening packets; these tests check that all flows are served
 //! again once the faults have ended.
 
-use {crate::world::World, rand::RngExt};
+use {crate::world::World, fallwell::config::Presence, rand::RngExt};
 
 /// The hosts of the targets of service `a`.
 const A_HOSTS: std::ops::Range<u8> = 11..15;
@@ -502,6 +502,33 @@
 fn flows_survive_what_processes_forget() {
   for seed in 0..96 {
     simulate_history(seed);
+    simulate_foreign_entries(seed);
+  }
+}
+
+/// Lists or removes an entry of another program on an instance of the system, or injects a fault.
+fn inject_foreign_entry(world: &mut World) {
+  let mut hosts = world.targets();
+  hosts.extend(1..=3);
+  let host = hosts[world.rng.random_range(0..hosts.len())];
+  let service = ["a", "b", "exporter"][world.rng.random_range(0..3)];
+  match world.rng.random_range(0..5) {
+    0 => world.list_foreign(host, service, Presence::Live),
+    1 => world.list_foreign(host, service, Presence::Leaving),
+    2 => world.unlist_foreign(host, service),
+    _ => inject_fault(world),
+  }
+}
+
+/// Entries of other programs that come and go among other faults.
+fn simulate_foreign_entries(seed: u64) {
+  simulate_with(world(seed), seed, inject_foreign_entry);
+}
+
+#[test]
+fn guarantees_hold_beside_entries_of_other_programs() {
+  for seed in 0..96 {
+    simulate_foreign_entries(seed);
   }
 }
 
@@ -568,5 +595,6 @@
     simulate_data_centres(seed);
     simulate_weights(seed);
     simulate_history(seed);
+    simulate_foreign_entries(seed);
   }
 }
--- a/tests/datagram/silence.rs
+++ b/tests/datagram/silence.rs
@@ -170,7 +170,7 @@
   let greeted = out.datagrams().iter().any(|datagram| {
     let frame = Frame::decode(out.bytes(datagram));
     datagram.to == peer(7)
-      && matches!(frame, Ok((Frame::Status(status), _)) if matches!(status.role, Role::Agent(_)))
+      && matches!(frame, Ok((Frame::Status(status), _)) if matches!(status.role, Role::Agent { .. }))
   });
   assert!(greeted);
 }
--- a/tests/datagram/upstream_restarted.rs
+++ b/tests/datagram/upstream_restarted.rs
@@ -5,7 +5,7 @@
   crate::{
     balancing::{balancer, carried, feed_status, is_reset, search},
     plain::{Kind, Packet},
-    support::{Agent, Sent, agent, carry, flow, found, listed, update, upstream},
+    support::{Agent, Sent, agent, carry, flow, found, listed, update},
   },
   assert_matches::assert_matches,
   fallwell::{
@@ -47,7 +47,7 @@
   }
   let change = catalog.apply_update(now, update(Some(2), 3, &[late]));
   assert!(change.is_empty(), "{change:?}");
-  let (_, entry) = catalog.at(upstream(9)).expect("listed");
+  let (_, entry) = catalog.entries().next().expect("listed");
   assert_eq!(entry.target.presence, Presence::Live);
 }
 
--- a/tests/datagram/world.rs
+++ b/tests/datagram/world.rs
@@ -33,6 +33,9 @@
 /// How long after it is listed as draining a target may get opening packets.
 const DRAIN_MS: u64 = 3000;
 
+/// The port in entries of other programs.
+const FOREIGN_PORT: u16 = 9100;
+
 /// The interval of checks whether a balancer is to read the platform.
 const READ_INTERVAL_MS: u64 = 200;
 
@@ -465,6 +468,31 @@
     }
   }
 
+  /// Lists an entry that another program has written, with a port of the instance at which nothing
+  /// of the system listens.
+  pub fn list_foreign(&mut self, host: u8, service: &str, presence: Presence) {
+    let id = foreign_id(host, service);
+    let revision = self.next_revision();
+    let mut record = listed(revision, &id, host, service, presence);
+    if let Record::Target {
+      target: Some(target),
+      ..
+    } = &mut record
+    {
+      target.address.set_port(FOREIGN_PORT);
+    }
+    self.write(id, record);
+  }
+
+  /// Removes an entry that another program has written.
+  pub fn unlist_foreign(&mut self, host: u8, service: &str) {
+    let id = foreign_id(host, service);
+    if self.records.contains_key(&id) {
+      let revision = self.next_revision();
+      self.write(id.clone(), unlisted(revision, &id));
+    }
+  }
+
   /// Sets whether the store answers.
   pub fn set_store_answers(&mut self, answers: bool) {
     self.note_fault();
@@ -858,6 +886,10 @@
   }
 }
 
+fn foreign_id(host: u8, service: &str) -> String {
+  format!("foreign-{host}-{service}")
+}
+
 impl SimulatedUpstream {
   /// Whether the packet belongs to an open flow; one that completes the opening opens it.
   fn accepts(&mut self, packet: &Packet) -> bool {
