Keep flows that an agent of any service may own after a total loss

Cause: a search asks the agents of the present services. Once all processes had answered that they know no history, their denials counted as proof, although nobody could know of the former service.

Change: without history, a flow is reset only if no listed target of another service may have it. Targets that have started after the first configuration known here cannot: the store tells when it created their entries. Agents that know all their flows are asked; the others say once, with their history, that they cannot tell, and the flow is not reset while they are there.

--- a/src/datagram/agent/machine.rs
+++ b/src/datagram/agent/machine.rs
@@ -206,7 +206,8 @@
         Ok(())
       }
       Frame::HistoryRequest => {
-        self.gossip.send_history(now, from, out);
+        let flows_known = now >= self.recovering_until;
+        self.gossip.send_history(now, from, flows_known, out);
         Ok(())
       }
       Frame::History(history) => {
--- a/src/datagram/balancer.rs
+++ b/src/datagram/balancer.rs
@@ -21,6 +21,7 @@
 mod patience;
 mod per_second;
 mod place;
+mod proof;
 mod queries;
 mod queue;
 mod reason;
--- a/src/datagram/balancer/frames.rs
+++ b/src/datagram/balancer/frames.rs
@@ -24,7 +24,7 @@
     self.targets.note_frame(now);
     let (frame, packet) = Frame::decode(bytes)?;
     match frame {
-      Frame::HistoryRequest => self.gossip.send_history(now, from, out),
+      Frame::HistoryRequest => self.gossip.send_history(now, from, true, out),
       Frame::Absent {
         flows, lost: true, ..
       } => self.reset_lost_flows(now, from, &flows, packet, out),
@@ -108,6 +108,9 @@
   ) {
     let change = self.gossip.update(now, origin, update, out);
     self.apply_change(now, &change);
+    if !change.is_empty() {
+      self.denied.append(&mut self.unproven);
+    }
     self.conclude_denied(now, out);
   }
 
--- a/src/datagram/balancer/machine.rs
+++ b/src/datagram/balancer/machine.rs
@@ -82,6 +82,8 @@
   pub(super) stale_until: Instant,
   pub(super) targets: Targets,
   pub(super) tuning: Tuning,
+  /// Flows that all queried agents have denied, and that others may own, until more is known.
+  pub(super) unproven: BTreeSet<Flow>,
 }
 
 impl<C: Codec> Machine<C> {
@@ -123,6 +125,7 @@
       stale_until: now,
       targets: Targets::new(now, settings.data_centre.clone(), settings.peers, &tuning),
       tuning,
+      unproven: BTreeSet::new(),
     }
   }
 
--- a/src/datagram/balancer/remembering.rs
+++ b/src/datagram/balancer/remembering.rs
@@ -19,6 +19,7 @@
       self.update_targets(now);
     }
     self.gossip.request_all_history(now, out);
+    self.denied.append(&mut self.unproven);
     self.conclude_denied(now, out);
   }
 
--- a/src/datagram/balancer/searching.rs
+++ b/src/datagram/balancer/searching.rs
@@ -183,6 +183,10 @@
       self.denied.insert(flow);
       return;
     }
+    if !self.is_proven_lost(now, flow) {
+      self.unproven.insert(flow);
+      return;
+    }
     let Some(search) = self.end_search(&flow) else {
       return;
     };
@@ -270,6 +274,7 @@
       );
     }
     if !search.schedule_retry(now, self.tuning.search) {
+      self.unproven.remove(&flow);
       self.end_search(&flow);
       return;
     }
@@ -300,7 +305,13 @@
   }
 
   /// Adds queries, which are sent with the next timer.
-  fn query(&mut self, now: Instant, flow: Flow, acknowledges: u32, agents: &[SocketAddrV4]) {
+  pub(super) fn query(
+    &mut self,
+    now: Instant,
+    flow: Flow,
+    acknowledges: u32,
+    agents: &[SocketAddrV4],
+  ) {
     let services = digests(&self.gossip.catalog().services(&flow.route));
     for agent in agents {
       self.queries.add(now, *agent, &services, flow, acknowledges);
--- a/src/datagram/balancer/selection.rs
+++ b/src/datagram/balancer/selection.rs
@@ -69,6 +69,7 @@
     let configuration = catalog.configuration();
     self.warmups =
       configuration.map_or_else(BTreeMap::new, |configuration| configuration.warmups.clone());
+    self.routes_known_from = catalog.routes_known_from();
     self.services.clear();
     let selected = self.select(catalog);
     self.update_former(catalog);
--- a/src/datagram/balancer/targets.rs
+++ b/src/datagram/balancer/targets.rs
@@ -70,6 +70,8 @@
   pub(super) removal_confirmed: bool,
   pub(super) service: Service,
   pub(super) slots: u16,
+  /// The revision at which it was listed, if that was when it started.
+  pub(super) started: Option<Revision>,
   /// How many times as long as the median of its service it takes, by kinds of work; none if
   /// unknown.
   pub(super) speed: Option<f64>,
@@ -96,6 +98,7 @@
       removal_confirmed: false,
       service: entry.target.service.clone(),
       slots: 1,
+      started: None,
       speed: None,
       stopping: false,
       was_measured: false,
@@ -142,6 +145,7 @@
     self.presence = entry.target.presence;
     self.service = entry.target.service.clone();
     self.slots = entry.target.slots.max(1);
+    self.started = entry.target.started;
     self
   }
 }
@@ -185,6 +189,8 @@
   last_frame: Instant,
   /// Since when this process has been reachable.
   reachable_since: Instant,
+  /// The revision from which on all services of routes are known, as in the catalog.
+  pub(super) routes_known_from: Option<Revision>,
   pub(super) tuning: Tuning,
   /// The services of listed entries that may be those of targets, although others of their instances
   /// were selected before the agents there have reported their upstreams.
@@ -212,6 +218,7 @@
       services: BTreeMap::new(),
       last_frame: now,
       reachable_since: now,
+      routes_known_from: None,
       tuning: *tuning,
       undecided: BTreeSet::new(),
       unlisted: BTreeMap::new(),
--- a/src/datagram/catalog.rs
+++ b/src/datagram/catalog.rs
@@ -50,6 +50,9 @@
   gap: Option<(Revision, Revision)>,
   /// Removals up to this revision may not be known here.
   removals_from: Revision,
+  /// The revision of the configuration from which on all services that addresses were routed to are
+  /// known here; 0 before the first one.
+  routes_known_from: Revision,
   targets: BTreeMap<target::Id, Entry>,
 }
 
@@ -119,6 +122,13 @@
     configuration.map_or(Revision::default(), |(revision, _)| *revision)
   }
 
+  /// The revision of the configuration from which on all services that addresses were routed to are
+  /// known here; none before the first one. A target that started later has no flow of an address that
+  /// was not routed to its service since then.
+  pub fn routes_known_from(&self) -> Option<Revision> {
+    (self.routes_known_from > Revision::default()).then_some(self.routes_known_from)
+  }
+
   /// All targets, including tombstones.
   pub fn entries(&self) -> impl Iterator<Item = (&target::Id, &Entry)> {
     self.targets.iter()
@@ -174,6 +184,9 @@
     if let Some(listed) = listed {
       self.drop_unlisted(now, update.to, &listed, &mut change);
     }
+    if change.has_gap {
+      self.routes_known_from = self.configured();
+    }
     if is_contiguous {
       self.synced = self.synced.max(update.to);
     }
@@ -424,12 +437,19 @@
       return;
     }
     let entry = match (target, known) {
-      (Some(target), _) => Entry {
-        first: known.map_or(revision, |entry| entry.first),
-        removed: None,
-        revision,
-        target: Arc::new(target),
-      },
+      (Some(mut target), _) => {
+        // A later record of the same incarnation does not tell any more when it started.
+        let before = known.filter(|entry| entry.target.start_time == target.start_time);
+        target.started = target
+          .started
+          .max(before.and_then(|entry| entry.target.started));
+        Entry {
+          first: known.map_or(revision, |entry| entry.first),
+          removed: None,
+          revision,
+          target: Arc::new(target),
+        }
+      }
       (None, Some(entry)) => Entry {
         first: entry.first,
         removed: Some(entry.removed.unwrap_or(now)),
--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -118,6 +118,8 @@
 pub struct History {
   /// The former backends.
   pub former_backends: Vec<FormerBackend>,
+  /// Whether the sender knows all flows of its upstream; true if it has none.
+  pub flows_known: bool,
   /// Whether the sender knows all changes within a flow's lifetime.
   pub known: bool,
   /// The number of this part, from 0.
--- a/src/datagram/gossip/history.rs
+++ b/src/datagram/gossip/history.rs
@@ -30,6 +30,8 @@
 struct Answer {
   /// Whether all parts have come.
   is_finished: bool,
+  /// Whether the process does not know all flows of its upstream.
+  lacks_flows: bool,
   /// When the newest part came, and the numbers of all that have come.
   parts: Option<(Instant, BTreeSet<u16>)>,
   requested: Instant,
@@ -57,6 +59,8 @@
   pub number: u16,
   /// The number of parts.
   pub count: u16,
+  /// Whether the sender knows all flows of its upstream.
+  pub flows_known: bool,
   /// Whether the sender knows all changes within a flow's lifetime.
   pub is_known: bool,
   /// The revision up to which it knows them.
@@ -114,6 +118,7 @@
     let parts = answer.and_then(|answer| answer.parts.clone());
     let request = Answer {
       is_finished: false,
+      lacks_flows: false,
       parts,
       requested: now,
     };
@@ -132,6 +137,12 @@
     answer.is_some_and(|answer| answer.is_finished)
   }
 
+  /// Whether a process has answered that it does not know all flows of its upstream.
+  pub fn lacks_flows(&self, peer: SocketAddrV4) -> bool {
+    let answer = self.answers.get(&peer);
+    answer.is_some_and(|answer| answer.lacks_flows)
+  }
+
   /// Whether enough of `balancers` have sent their history: all of a few; half of many, or any number
   /// after a timeout. If all processes have lost their history at once, waiting for the last of
   /// many balancers takes longer than callers wait.
@@ -172,6 +183,7 @@
     answer.parts = Some((now, received));
     if is_complete {
       answer.is_finished = true;
+      answer.lacks_flows = !part.flows_known;
       self.is_known |= part.is_known;
     }
   }
--- a/src/datagram/gossip/remembering.rs
+++ b/src/datagram/gossip/remembering.rs
@@ -76,7 +76,8 @@
   }
 
   /// Sends the targets that were removed, and the services that addresses were routed to.
-  pub fn send_history(&self, now: Instant, to: SocketAddrV4, out: &mut Outbox) {
+  /// `flows_known` says whether this process knows all flows of its upstream.
+  pub fn send_history(&self, now: Instant, to: SocketAddrV4, flows_known: bool, out: &mut Outbox) {
     let tombstones = self.catalog.tombstones(now);
     let former_backends = self.former_backends(now);
     let longest = tombstones.len().max(former_backends.len());
@@ -84,6 +85,7 @@
     for part in 0..parts {
       let history = History {
         former_backends: part_of(&former_backends, part),
+        flows_known,
         known: self.history.is_known(),
         part: part as u16,
         parts: parts as u16,
@@ -109,6 +111,7 @@
     let part = history::Part {
       number: history.part,
       count: history.parts,
+      flows_known: history.flows_known,
       is_known: history.known,
       synced: history.synced,
     };
@@ -120,6 +123,16 @@
     is_new
   }
 
+  /// Whether a process has sent its history since this one has asked for it.
+  pub fn has_sent_history(&self, process: SocketAddrV4) -> bool {
+    self.history.has_answered(process)
+  }
+
+  /// Whether an agent has said that it does not know all flows of its upstream.
+  pub fn lacks_flows(&self, agent: SocketAddrV4) -> bool {
+    self.history.lacks_flows(agent)
+  }
+
   /// Imports targets of a service that were removed from the target list, each with its age in
   /// milliseconds; true if one of them was not known.
   pub fn import_removed(
--- a/src/datagram/target.rs
+++ b/src/datagram/target.rs
@@ -1,6 +1,6 @@
 use {
   super::Service,
-  crate::config::Presence,
+  crate::{Revision, config::Presence},
   serde::{Deserialize, Serialize},
   std::{
     convert::Infallible,
@@ -107,6 +107,9 @@
   pub service: Service,
   /// How many requests it processes at once.
   pub slots: u16,
+  /// The revision at which the platform listed this incarnation, if that was when it started; none if
+  /// unknown.
+  pub started: Option<Revision>,
   /// What was left of its warm-up when the platform wrote this record.
   pub warmup_left: Duration,
 }
--- a/tests/datagram/balancing.rs
+++ b/tests/datagram/balancing.rs
@@ -3,7 +3,7 @@
 use {
   crate::{
     plain::{Kind, Packet, Plain},
-    support::{Harness, Sent, configured, confirmation, flow, listed, update, upstream},
+    support::{Harness, Sent, configured, confirmation, flow, listed, started, update, upstream},
   },
   fallwell::{
     Revision,
@@ -21,7 +21,7 @@
 pub type Balancer = Harness<balancer::Machine<Plain>>;
 
 /// A balancer with two targets of service `a` and one of service `b`. Their agents do not know the
-/// history either.
+/// history either. The target of service `b` has started so late that it has no flows of other routes.
 pub fn balancer() -> Balancer {
   balancer_with(None)
 }
@@ -34,7 +34,7 @@
     configured(1, 1, &[(1, "a"), (2, "b")]),
     listed(2, "up-11", 11, "a", live),
     listed(3, "up-12", 12, "a", live),
-    listed(4, "up-21", 21, "b", live),
+    started(4, listed(4, "up-21", 21, "b", live)),
   ];
   balancer.platform(update(None, 4, &records));
   for host in [11, 12, 21] {
@@ -70,10 +70,11 @@
   }
 }
 
-/// An empty history of a process whose catalog is complete up to revision 4; `known` if it knows all
-/// changes within a flow's lifetime.
+/// An empty history of a process whose catalog is complete up to revision 4, and which knows all flows
+/// of its upstream; `known` if it knows all changes within a flow's lifetime.
 pub fn history(known: bool) -> Frame {
   Frame::History(History {
+    flows_known: true,
     known,
     parts: 1,
     synced: Revision(4),
--- a/tests/datagram/denials.rs
+++ b/tests/datagram/denials.rs
@@ -62,6 +62,7 @@
 /// The history of a balancer that remembers the route to service `b`.
 fn history() -> Frame {
   Frame::History(History {
+    flows_known: true,
     known: true,
     former_backends: vec![FormerBackend {
       address: route(1),
--- a/tests/datagram/history.rs
+++ b/tests/datagram/history.rs
@@ -152,6 +152,38 @@
   }
 }
 
+/// Guards against the reset of flows at a service that was taken off their route, after all processes
+/// were killed at once: nobody knows any more that the address was routed to it.
+#[test]
+fn flows_of_a_withdrawn_service_are_not_reset_after_a_kill_of_all_processes() {
+  for seed in 0..8 {
+    let mut world = world(seed, &both());
+    open_flows(&mut world);
+    withdraw(&mut world);
+    world.run(4000);
+    world.lose_power(false);
+    world.run(500);
+    world.restore_power();
+    world.run(8000);
+    assert_eq!(world.reset, 0, "seed {seed}");
+  }
+}
+
+/// Guards against callers that are not told that their targets are gone, after a loss of power of all
+/// machines: targets of other services that have just started cannot own their flows.
+#[test]
+fn flows_are_reset_at_once_after_a_loss_of_power() {
+  for seed in 0..8 {
+    let mut world = world(seed, &both());
+    open_flows(&mut world);
+    world.lose_power(true);
+    world.run(500);
+    world.restore_power();
+    world.run(600);
+    assert_eq!((world.reset, world.pending()), (40, 0), "seed {seed}");
+  }
+}
+
 /// A history that names service `b` as a former backend of address 1.
 fn former_b(known: bool) -> Frame {
   Frame::History(History {
@@ -215,9 +247,110 @@
   let sent = balancer.frame(11, &absent(4), &[]);
   assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
   let sent = balancer.frame(11, &crate::balancing::history(false), &[]);
+  // The owner may be of a service that the address is no longer routed to.
+  assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+  assert_eq!(queried(&balancer.pass(Duration::from_millis(1))), [21]);
+  let sent = balancer.frame(21, &absent(4), &[]);
+  assert!(is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+}
+
+/// A balancer without history, whose search for `flow(1, 1)` only agent 21, of another service, has
+/// not denied. Its target was listed by `record`.
+fn denied_by_its_service(record: Record, flows_known: bool) -> (Balancer, Vec<Sent>) {
+  let mut balancer = Harness::balancer(1, None);
+  let records = [
+    configured(1, 1, &[(1, "a"), (2, "b")]),
+    listed(2, "up-11", 11, "a", Presence::Live),
+    record,
+  ];
+  balancer.platform(update(None, 4, &records));
+  for (host, flows_known) in [(11, true), (21, flows_known)] {
+    feed_status(&mut balancer, host, 1, Load::default());
+    let history = History {
+      flows_known,
+      parts: 1,
+      synced: Revision(4),
+      ..History::default()
+    };
+    balancer.frame(host, &Frame::History(history), &[]);
+  }
+  search(&mut balancer);
+  let sent = balancer.frame(11, &absent(4), &[]);
+  (balancer, sent)
+}
+
+/// Guards against a reset while the agent of the owner has lost its memory.
+#[test]
+fn a_flow_is_not_reset_while_an_agent_of_another_service_may_own_it() {
+  let target = listed(4, "up-21", 21, "b", Presence::Live);
+  let (mut balancer, mut sent) = denied_by_its_service(target, false);
+  for _ in 0..60 {
+    assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+    // The query would be in vain.
+    assert_eq!(queried(&sent), [0; 0]);
+    sent = balancer.pass(Duration::from_millis(50));
+    sent.extend(feed_status(&mut balancer, 21, 1, Load::default()));
+  }
+}
+
+#[test]
+fn an_agent_that_cannot_tell_whether_it_owns_a_flow_does_not_deny_it() {
+  let target = listed(4, "up-21", 21, "b", Presence::Live);
+  let (mut balancer, sent) = denied_by_its_service(target, true);
+  assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+  assert_eq!(queried(&balancer.pass(Duration::from_millis(1))), [21]);
+  // It has restarted meanwhile.
+  let foreign = Frame::Foreign {
+    flows: vec![flow(1, 1)],
+    service: crate::support::digest("b"),
+  };
+  let mut sent = balancer.frame(21, &foreign, &[]);
+  for _ in 0..60 {
+    assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+    sent = balancer.pass(Duration::from_millis(50));
+  }
+}
+
+#[test]
+fn targets_that_started_after_the_configuration_own_no_flows_of_former_services() {
+  let target = started_at(4);
+  let (_, sent) = denied_by_its_service(target, false);
   assert!(is_reset(&sent, flow(1, 1), 100), "{sent:?}");
 }
 
+/// The same where the target is listed during the search, as after a loss of power.
+#[test]
+fn a_flow_is_reset_once_the_other_targets_are_known_to_have_started_late() {
+  let former = listed(3, "up-20", 21, "b", Presence::Live);
+  let (mut balancer, sent) = denied_by_its_service(former, false);
+  assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+  let sent = balancer.platform(update(Some(4), 5, &[started_at(5)]));
+  assert!(is_reset(&sent, flow(1, 1), 100), "{sent:?}");
+}
+
+/// The record of a target of service `b` that started at a revision.
+fn started_at(revision: u64) -> Record {
+  let record = listed(revision, "up-21", 21, "b", Presence::Live);
+  crate::support::started(revision, record)
+}
+
+#[test]
+fn later_records_of_an_incarnation_keep_its_start() {
+  let now = std::time::Instant::now();
+  let mut catalog = fallwell::datagram::Catalog::default();
+  let records = [configured(1, 1, &[(1, "a")]), started_at(4)];
+  catalog.apply_update(now, update(None, 4, &records));
+  let later = listed(6, "up-21", 21, "b", Presence::Leaving);
+  catalog.apply_update(now, update(Some(4), 6, &[later]));
+  let (_, entry) = catalog.entries().next().expect("an entry");
+  assert_eq!(entry.target.started, Some(Revision(4)));
+  assert_eq!(catalog.routes_known_from(), Some(Revision(1)));
+  // After a gap, services of its address may be unknown until the configuration in force then.
+  let records = [configured(8, 2, &[(1, "a")]), started_at(4)];
+  catalog.apply_update(now, update(None, 9, &records));
+  assert_eq!(catalog.routes_known_from(), Some(Revision(8)));
+}
+
 #[test]
 fn a_few_agents_are_asked_for_the_history_at_a_time() {
   let mut balancer = balancer();
--- a/tests/datagram/overlay.rs
+++ b/tests/datagram/overlay.rs
@@ -202,6 +202,7 @@
   // A peer knows all removals.
   let history = Frame::History(History {
     known: true,
+    flows_known: true,
     former_backends: vec![],
     part: 0,
     parts: 1,
--- a/tests/datagram/random_run.rs
+++ b/tests/datagram/random_run.rs
@@ -508,6 +508,52 @@
   }
 }
 
+/// Takes services off a route that is kept, takes the memory of all processes at once, or replaces or
+/// restarts one. No target leaves the list while it serves on: nobody knows of it after such a loss.
+fn inject_total_loss(world: &mut World) {
+  let targets = world.targets();
+  let target = targets[world.rng.random_range(0..targets.len())];
+  let balancer = world.rng.random_range(1..4);
+  match world.rng.random_range(0..8) {
+    0..=2 => change_services(world),
+    3 => {
+      let targets = world.rng.random_bool(0.3);
+      world.lose_power(targets);
+      let ms = world.rng.random_range(1..600);
+      world.run(ms);
+      world.restore_power();
+    }
+    4 => restart(world, balancer),
+    5 => restart(world, target),
+    6 => {
+      world.crash_target(target, true);
+      world.unlist(target);
+      let service = if A_HOSTS.contains(&target) { "a" } else { "b" };
+      world.start_target(target, service);
+    }
+    _ => {
+      world.kill(target);
+      world.run(300);
+      world.start_agent(target);
+    }
+  }
+}
+
+/// Services that leave their route, and losses of all memory, while callers pause between requests.
+fn simulate_total_losses(seed: u64) {
+  let mut world = world(seed);
+  world.configure_weighted(&[(1, vec![("a", 1), ("b", 1)]), (2, vec![("b", 1)])]);
+  world.set_pause_ms(1..3000);
+  simulate_with(world, seed, inject_total_loss);
+}
+
+#[test]
+fn flows_survive_the_loss_of_all_processes() {
+  for seed in 0..96 {
+    simulate_total_losses(seed);
+  }
+}
+
 /// Lists or removes an entry of another program on an instance of the system, or injects a fault.
 fn inject_foreign_entry(world: &mut World) {
   let mut hosts = world.targets();
@@ -687,5 +733,6 @@
     simulate_foreign_entries(seed);
     simulate_pauses(seed);
     simulate_takeovers(seed);
+    simulate_total_losses(seed);
   }
 }
--- a/tests/datagram/remembering.rs
+++ b/tests/datagram/remembering.rs
@@ -40,6 +40,7 @@
   let sent = balancer.frame(12, &absent(4), &[]);
   assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
   let history = Frame::History(History {
+    flows_known: true,
     known: true,
     former_backends: vec![],
     part: 0,
@@ -64,6 +65,7 @@
   feed_balancer_status(&mut balancer, 2);
   feed_balancer_status(&mut balancer, 3);
   let empty_history = Frame::History(History {
+    flows_known: true,
     known: false,
     former_backends: vec![],
     part: 0,
--- a/tests/datagram/support.rs
+++ b/tests/datagram/support.rs
@@ -157,11 +157,24 @@
       presence,
       service: service.parse().expect("a name"),
       slots: 4,
+      started: None,
       warmup_left: Duration::ZERO,
     }),
   }
 }
 
+/// The record of a target that has started at a revision.
+pub fn started(revision: u64, mut record: Record) -> Record {
+  if let Record::Target {
+    target: Some(target),
+    ..
+  } = &mut record
+  {
+    target.started = Some(Revision(revision));
+  }
+  record
+}
+
 /// The record of a target with `left` of its warm-up.
 pub fn warming(revision: u64, id: &str, host: u8, service: &str, left: Duration) -> Record {
   let mut record = listed(revision, id, host, service, Presence::Live);
--- a/tests/datagram/weights.rs
+++ b/tests/datagram/weights.rs
@@ -270,6 +270,7 @@
     assert!(!is_reset(&sent, flow(1, 1), 100), "{sent:?}");
   }
   let history = Frame::History(History {
+    flows_known: true,
     known: true,
     former_backends: vec![FormerBackend {
       address: crate::support::route(1),
--- a/tests/datagram/world.rs
+++ b/tests/datagram/world.rs
@@ -4,7 +4,8 @@
   crate::{
     plain::{Kind, Packet, Plain},
     support::{
-      CALLERS, PEERS, configured, configured_weighted, listed, peer, settings, unlisted, upstream,
+      CALLERS, PEERS, configured, configured_weighted, listed, peer, settings, started, unlisted,
+      upstream,
     },
   },
   fallwell::{
@@ -331,7 +332,8 @@
     self.start_agent(host);
     self.start_warmup(host);
     let revision = self.next_revision();
-    let mut record = listed(revision, &id, host, service, Presence::Live);
+    let record = listed(revision, &id, host, service, Presence::Live);
+    let mut record = started(revision, record);
     self.set_location_and_warmup(host, &mut record);
     self.write(id, record);
   }
