--- a/src/datagram/frame.rs
+++ b/src/datagram/frame.rs
@@ -10,13 +10,10 @@
 /// The first byte of a frame: the version of its layout.
 const VERSION: u8 = 0xd7;
 
-/// The largest update that is pushed as a frame, in bytes: it fits in a datagram of 1,500 bytes.
+/// The largest update that is pushed as a frame, and the size from which a history is divided, in
+/// bytes: the frame fits in a datagram of 1,500 bytes.
 pub const UPDATE_MAX: usize = 1200;
 
-/// The most tombstones, and the most former backends, in one frame: it fits in a datagram of 1,500
-/// bytes.
-pub const TOMBSTONES_MAX: usize = 24;
-
 /// The most agents in one `FanOut` frame that is followed by a packet of `packet` bytes: both fit
 /// in a datagram of 1,500 bytes.
 pub fn fan_out_max(packet: usize) -> usize {
--- a/src/datagram/gossip/remembering.rs
+++ b/src/datagram/gossip/remembering.rs
@@ -10,9 +10,10 @@
       Frame, Outbox, Service,
       age::{age_ms, time_of},
       former_backends::Removed,
-      frame::{FormerBackend, History, TOMBSTONES_MAX, Tombstone},
+      frame::{FormerBackend, History, Tombstone, UPDATE_MAX},
     },
   },
+  serde::Serialize,
   std::{net::SocketAddrV4, time::Instant},
 };
 
@@ -78,19 +79,22 @@
   /// Sends the targets that were removed, and the services that addresses were routed to.
   /// `flows_known` says whether this process knows all flows of its upstream.
   pub fn send_history(&self, now: Instant, to: SocketAddrV4, flows_known: bool, out: &mut Outbox) {
-    let tombstones = self.catalog.tombstones(now);
-    let former_backends = self.former_backends(now);
-    let longest = tombstones.len().max(former_backends.len());
-    let parts = longest.div_ceil(TOMBSTONES_MAX).max(1);
-    for part in 0..parts {
+    let mut parts = Parts::default();
+    for tombstone in self.catalog.tombstones(now) {
+      parts.part_for(&tombstone).tombstones.push(tombstone);
+    }
+    for backend in self.former_backends(now) {
+      parts.part_for(&backend).former_backends.push(backend);
+    }
+    let count = parts.all.len() as u16;
+    for (number, part) in parts.all.into_iter().enumerate() {
       let history = History {
-        former_backends: part_of(&former_backends, part),
         flows_known,
         known: self.history.is_known(),
-        part: part as u16,
-        parts: parts as u16,
+        part: number as u16,
+        parts: count,
         synced: self.catalog.synced(),
-        tombstones: part_of(&tombstones, part),
+        ..part
       };
       out.frame(to, &Frame::History(history), &[]);
     }
@@ -186,8 +190,32 @@
   }
 }
 
-/// The items of a part of the history.
-fn part_of<T: Clone>(items: &[T], part: usize) -> Vec<T> {
-  let items = items.iter().skip(part * TOMBSTONES_MAX);
-  items.take(TOMBSTONES_MAX).cloned().collect()
+/// A history in parts, each of which fits in a frame.
+struct Parts {
+  all: Vec<History>,
+  /// The bytes that are left in the last part.
+  left: usize,
+}
+
+impl Default for Parts {
+  /// One part without items.
+  fn default() -> Self {
+    Self {
+      all: vec![History::default()],
+      left: UPDATE_MAX,
+    }
+  }
+}
+
+impl Parts {
+  /// The part that an item is to be added to.
+  fn part_for<T: Serialize>(&mut self, item: &T) -> &mut History {
+    let size = postcard::to_allocvec(item).map_or(0, |bytes| bytes.len());
+    if size > self.left {
+      self.all.push(History::default());
+      self.left = UPDATE_MAX;
+    }
+    self.left = self.left.saturating_sub(size);
+    self.all.last_mut().expect("at least one part")
+  }
 }
--- a/tests/datagram/history.rs
+++ b/tests/datagram/history.rs
@@ -469,3 +469,32 @@
   assert!(entry.removed.is_some());
   assert!(!sender.since(now, Revision(9)).has_gap);
 }
+
+/// Guards against histories that are never received since a part does not fit in a datagram.
+#[test]
+fn each_part_of_a_history_fits_in_a_datagram() {
+  let mut balancer = balancer();
+  let service = "s".repeat(200);
+  let targets = (30..90).map(|host| {
+    let id = format!("up-{host}");
+    listed(u64::from(host), &id, host, &service, Presence::Live)
+  });
+  balancer.platform(update(Some(4), 100, &targets.collect::<Vec<_>>()));
+  let removed = (30..90_u8).map(|host| unlisted(100 + u64::from(host), &format!("up-{host}")));
+  balancer.platform(update(Some(100), 200, &removed.collect::<Vec<_>>()));
+  let sent = balancer.frame(2, &Frame::HistoryRequest, &[]);
+  let (mut tombstones, parts) = (0, sent.len());
+  for sent in &sent {
+    let Sent::Frame(_, frame, _) = sent else {
+      panic!("{sent:?}");
+    };
+    let mut bytes = Vec::new();
+    frame.encode(&mut bytes);
+    assert!(bytes.len() <= 1400, "{} bytes", bytes.len());
+    if let Frame::History(history) = frame {
+      assert_eq!(usize::from(history.parts), parts);
+      tombstones += history.tombstones.len();
+    }
+  }
+  assert_eq!(tombstones, 60);
+}
